--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,99 @@
+//! vetchbridge: the scheduler daemon. This file owns the start, the wiring and the end of the program; it must
+//! never touch a request.
+
+mod node;
+
+use node::config::{self, Config};
+use node::discovery::Discovery;
+use node::engine::Engine;
+use node::front::{Front, Phase};
+use node::siblings;
+use node::upstream::UpstreamGroup;
+use silverproxy::policy::Policy;
+use std::error::Error;
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::mpsc::unbounded_channel;
+use tokio::time::{sleep, sleep_until, Instant};
+
+/// After SIGTERM, idle connections are left to their clients for this long: the front may still deal them out.
+const LET_IDLE: Duration = Duration::from_millis(500);
+/// After SIGTERM, the listener stays at least this long: new connections keep arriving.
+const LISTEN_ON: Duration = Duration::from_millis(900);
+/// Nothing must be owed for this long before the program ends; the last answers leave the socket meanwhile.
+const QUIET: Duration = Duration::from_millis(100);
+
+fn main() -> ExitCode {
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    // One core is all there is: one thread, and no locks ever waited for.
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let ended = match runtime {
+        Ok(runtime) => runtime.block_on(run()),
+        Err(error) => Err(error.into()),
+    };
+    match ended {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            log::error!("{error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run() -> Result<(), Box<dyn Error>> {
+    let config = config::load()?;
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let listener = TcpListener::bind(config.listen).await.map_err(|e| format!("{}: {e}", config.listen))?;
+    log::info!("{} listens on {}", config.name, listener.local_addr()?);
+    let front = start(config, listener)?;
+
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    log::info!("told to end");
+    front.enter(Phase::Draining);
+    let told = Instant::now();
+    sleep_until(told + LET_IDLE).await;
+    front.enter(Phase::Closing);
+    sleep_until(told + LISTEN_ON).await;
+    let mut quiet_since = Instant::now();
+    while quiet_since.elapsed() < QUIET {
+        sleep(QUIET / 10).await;
+        if front.owes() {
+            quiet_since = Instant::now();
+        }
+    }
+    log::info!("nothing is owed, ending");
+    Ok(())
+}
+
+fn start(config: Config, listener: TcpListener) -> Result<Arc<Front>, Box<dyn Error>> {
+    let (asks, asked) = unbounded_channel();
+    let (messages, outgoing) = unbounded_channel();
+    let dial_timeout = Duration::from_micros(config.settings.limits.dial_timeout);
+    let upstream = Arc::new(UpstreamGroup::new(dial_timeout, config.conn_idle));
+    let classes = config.settings.classes.clone();
+    let policy = Policy::new(config.settings, config.seed)?;
+    let engine = Arc::new(Engine::new(policy, upstream.clone(), asks, messages));
+    tokio::spawn(engine.clone().run_timers());
+    if let Some(config) = config.siblings {
+        let siblings = siblings::run(config, engine.clone(), outgoing);
+        tokio::spawn(async move {
+            if let Err(error) = siblings.await {
+                log::error!("siblings can't be reached: {error}");
+            }
+        });
+    }
+    let class_names = config.names.classes.clone();
+    let discovery =
+        Discovery::start(config.discovery, config.names, config.known, engine.clone(), upstream.clone());
+    tokio::spawn(discovery.run(asked));
+    let front = Front::new(engine, upstream, class_names, classes, config.sockets);
+    tokio::spawn(front.clone().serve(listener));
+    Ok(front)
+}
--- /dev/null
+++ b/src/node/config.rs
@@ -0,0 +1,159 @@
+//! The daemon's configuration: the one place where it is read, checked and given defaults.
+//!
+//! Owns nothing that lives on: it turns the environment and the file at `BALANCER_CONFIG` into a [`Config`],
+//! or into one message that names the faulty key. It must never open a socket or start the module.
+
+use super::discovery::{Listing, Names};
+use serde::de::DeserializeOwned;
+use serde_json::{Map, Value};
+use silverproxy::interface::Settings;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Everything that the daemon is told at its start.
+pub struct Config {
+    /// The scheduler's own name.
+    pub name: String,
+    /// Where clients and the peers' callbacks connect.
+    pub listen: SocketAddr,
+    /// Discovery's address.
+    pub discovery: SocketAddr,
+    /// Seed of the module's random numbers.
+    pub seed: u64,
+    /// Descriptors that the process may hold.
+    pub sockets: usize,
+    /// Where siblings' datagrams arrive and where each sibling is reached; absent where they may not talk.
+    pub siblings: Option<Siblings>,
+    /// The list of peers as this scheduler last had it.
+    pub known: Listing,
+    /// The module's settings.
+    pub settings: Settings,
+    /// What the settings' indices are called on the sockets.
+    pub names: Names,
+    /// A peer closes a connection that has been idle for this long.
+    pub conn_idle: Duration,
+}
+
+/// Addresses of the schedulers of this tier.
+pub struct Siblings {
+    /// Own address for their datagrams.
+    pub listen: SocketAddr,
+    /// One address for each scheduler, in the order of their numbers.
+    pub each: Vec<SocketAddr>,
+    /// The address that reaches all of them.
+    pub all: Option<SocketAddr>,
+}
+
+/// A configuration that cannot be used: the key, and what is wrong with it.
+#[derive(Debug, PartialEq, Eq)]
+pub struct ConfigError {
+    key: String,
+    reason: String,
+}
+
+impl std::fmt::Display for ConfigError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "configuration: {}: {}", self.key, self.reason)
+    }
+}
+
+impl std::error::Error for ConfigError {}
+
+fn bad<T>(key: &str, reason: impl ToString) -> Result<T, ConfigError> {
+    Err(ConfigError { key: key.to_string(), reason: reason.to_string() })
+}
+
+const DEFAULT_SOCKETS: usize = 1024;
+const DEFAULT_CONN_IDLE: Duration = Duration::from_secs(60);
+
+/// Reads the environment and the file that it names.
+pub fn load() -> Result<Config, ConfigError> {
+    let env = |key: &str| std::env::var(key).ok().filter(|value| !value.is_empty());
+    let Some(path) = env("BALANCER_CONFIG") else { return bad("BALANCER_CONFIG", "not set") };
+    let text = match std::fs::read_to_string(&path) {
+        Ok(text) => text,
+        Err(error) => return bad("BALANCER_CONFIG", format!("{path}: {error}")),
+    };
+    parse(&text, env)
+}
+
+/// Checks the file's text; `env` wins over the keys that it names.
+fn parse(text: &str, env: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
+    let mut root: Map<String, Value> = match serde_json::from_str(text) {
+        Ok(root) => root,
+        Err(error) => return bad("BALANCER_CONFIG", format!("not a JSON object: {error}")),
+    };
+    for (variable, key) in
+        [("BALANCER_NAME", "name"), ("BALANCER_LISTEN", "listen"), ("BALANCER_DISCOVERY", "discovery")]
+    {
+        if let Some(value) = env(variable) {
+            root.insert(key.to_string(), Value::String(value));
+        }
+    }
+    let settings_json = match root.get("settings") {
+        Some(value) if value.is_object() => value.clone(),
+        Some(_) => return bad("settings", "not an object"),
+        None => return bad("settings", "missing"),
+    };
+    let settings = match silverproxy::wire::settings(&settings_json.to_string()) {
+        Ok(settings) => settings,
+        Err(fault) => return bad(&fault.field.replacen("setup", "settings", 1), fault.reason),
+    };
+    let names = Names {
+        zones: optional(&settings_json, "areas", "settings.areas")?.unwrap_or_default(),
+        kinds: optional(&settings_json, "kinds", "settings.kinds")?.unwrap_or_default(),
+        classes: class_names(&settings_json)?,
+    };
+    let root = Value::Object(root);
+    let idle: Option<u64> = match settings_json.get("limits") {
+        Some(limits) => optional(limits, "conn_idle", "settings.limits.conn_idle")?,
+        None => None,
+    };
+    let sockets = match root.get("limits") {
+        Some(limits) => optional(limits, "sockets", "limits.sockets")?,
+        None => None,
+    };
+    Ok(Config {
+        name: required(&root, "name")?,
+        listen: required(&root, "listen")?,
+        discovery: required(&root, "discovery")?,
+        seed: match u64::from_str_radix(&required::<String>(&root, "seed")?, 16) {
+            Ok(seed) => seed,
+            Err(error) => return bad("seed", error),
+        },
+        sockets: sockets.unwrap_or(DEFAULT_SOCKETS),
+        siblings: match optional(&root, "peer_listen", "peer_listen")? {
+            Some(listen) if settings.limits.may_message_peers => Some(Siblings {
+                listen,
+                each: optional(&root, "peers", "peers")?.unwrap_or_default(),
+                all: optional(&root, "peers_all", "peers_all")?,
+            }),
+            _ => None,
+        },
+        known: optional(&root, "known", "known")?.unwrap_or_default(),
+        settings,
+        names,
+        conn_idle: idle.filter(|idle| *idle > 0).map_or(DEFAULT_CONN_IDLE, Duration::from_micros),
+    })
+}
+
+fn optional<T: DeserializeOwned>(object: &Value, key: &str, path: &str) -> Result<Option<T>, ConfigError> {
+    match object.get(key) {
+        None | Some(Value::Null) => Ok(None),
+        Some(value) => T::deserialize(value).map(Some).or_else(|error| bad(path, error)),
+    }
+}
+
+fn required<T: DeserializeOwned>(object: &Value, key: &str) -> Result<T, ConfigError> {
+    optional(object, key, key)?.map_or_else(|| bad(key, "missing"), Ok)
+}
+
+fn class_names(settings: &Value) -> Result<Vec<String>, ConfigError> {
+    let services = settings.get("services").and_then(Value::as_array).into_iter().flatten();
+    services
+        .map(|service| match service.get("name").and_then(Value::as_str) {
+            Some(name) => Ok(name.to_string()),
+            None => bad("settings.services[].name", "missing"),
+        })
+        .collect()
+}
--- /dev/null
+++ b/src/node/discovery.rs
@@ -0,0 +1,231 @@
+//! Discovery: the watch on the list of peers, and the list when the module asks for it.
+//!
+//! Owns the version last seen and the calls under way. News goes to the upstream group first and to the
+//! module next, in the order it came; a call that fails becomes one `Failed` event and ends the watch until
+//! the module subscribes again. It must never ask unbidden, nor drop the list it has for one it can't read.
+
+use super::engine::Engine;
+use super::upstream::{worker_id, UpstreamGroup};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper::{Request, StatusCode};
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use serde::Deserialize;
+use silverproxy::interface::*;
+use std::future::{pending, Future};
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::mpsc::UnboundedReceiver;
+
+/// How long a watch may wait at discovery; the protocol allows a minute, but a cut shows only at its end.
+const WATCH_WAIT: Duration = Duration::from_secs(10);
+/// How long an answer may take beyond that; from then on its news counts as told.
+const ANSWER_WAIT: Duration = Duration::from_secs(2);
+/// Idle connections to discovery are closed after this.
+const IDLE: Duration = Duration::from_secs(20);
+/// The longest list.
+const BODY_LIMIT: usize = 4 * 1024 * 1024;
+
+/// What the settings' indices are called on the sockets.
+pub struct Names {
+    /// Zones.
+    pub zones: Vec<String>,
+    /// Kinds of machine.
+    pub kinds: Vec<String>,
+    /// Classes of requests.
+    pub classes: Vec<String>,
+}
+
+/// A list, or the changes of one, in discovery's form.
+#[derive(Debug, Default, Deserialize)]
+pub struct Listing {
+    generation: u64,
+    reset: bool,
+    instances: Vec<Instance>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Instance {
+    instance_id: String,
+    #[serde(default)]
+    host_port: String,
+    #[serde(default)]
+    zone: String,
+    #[serde(default)]
+    machine_type: String,
+    #[serde(default)]
+    cell: u32,
+    lifecycle: Lifecycle,
+    #[serde(default = "one")]
+    weight: f64,
+    #[serde(default)]
+    started_at_ms: u64,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum Lifecycle {
+    Up,
+    Draining,
+    Removed,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+impl Instance {
+    fn state(&self) -> MemberState {
+        match self.lifecycle {
+            Lifecycle::Up => MemberState::Ready,
+            Lifecycle::Draining => MemberState::Draining,
+            Lifecycle::Removed => MemberState::Gone,
+        }
+    }
+
+    fn member(&self, names: &Names) -> Member {
+        // A name that the settings don't know gets an index that no class or scheduler has.
+        let index = |names: &[String], name: &str| {
+            names.iter().position(|known| known == name).map_or(u32::MAX, |at| at as u32)
+        };
+        Member {
+            worker: worker_id(&self.instance_id),
+            zone: ZoneId(index(&names.zones, &self.zone)),
+            kind: KindId(index(&names.kinds, &self.machine_type)),
+            cell: CellId(self.cell),
+            state: self.state(),
+            units: self.weight,
+            // The module's clock starts from Unix time.
+            born: self.started_at_ms.saturating_mul(1000),
+        }
+    }
+}
+
+/// What the module may ask of discovery.
+#[derive(Debug)]
+pub enum Ask {
+    /// Follow the changes, or stop.
+    Subscribe(bool),
+    /// The whole list, once.
+    Fetch,
+}
+
+type Call = Pin<Box<dyn Future<Output = Result<Listing, String>> + Send>>;
+
+/// Discovery as this scheduler sees it.
+pub struct Discovery {
+    address: SocketAddr,
+    client: Client<HttpConnector, Empty<Bytes>>,
+    names: Names,
+    engine: Arc<Engine>,
+    upstream: Arc<UpstreamGroup>,
+    version: u64,
+}
+
+impl Discovery {
+    /// Tells the upstream group and the module the saved list; nothing is asked yet.
+    pub fn start(
+        address: SocketAddr,
+        names: Names,
+        known: Listing,
+        engine: Arc<Engine>,
+        upstream: Arc<UpstreamGroup>,
+    ) -> Discovery {
+        let mut tcp = HttpConnector::new();
+        tcp.set_nodelay(true);
+        tcp.set_connect_timeout(Some(ANSWER_WAIT));
+        let client = Client::builder(TokioExecutor::new())
+            .pool_idle_timeout(IDLE)
+            .pool_timer(TokioTimer::new())
+            .build(tcp);
+        let mut discovery = Discovery { address, client, names, engine, upstream, version: 0 };
+        discovery.tell(ListKind::Saved, known);
+        discovery
+    }
+
+    /// Serves the module's asks for as long as the engine lives.
+    pub async fn run(mut self, mut asks: UnboundedReceiver<Ask>) {
+        let (mut watch, mut fetch): (Option<Call>, Option<Call>) = (None, None);
+        loop {
+            tokio::select! {
+                ask = asks.recv() => match ask {
+                    Some(Ask::Subscribe(true)) => watch = Some(self.watch()),
+                    Some(Ask::Subscribe(false)) => watch = None,
+                    Some(Ask::Fetch) => fetch = Some(self.call("/registry/instances".into(), ANSWER_WAIT)),
+                    None => return,
+                },
+                answer = under_way(&mut watch) => {
+                    watch = None;
+                    if self.news(answer) {
+                        // At once: a watch goes on only if the next call follows within 200 ms.
+                        watch = Some(self.watch());
+                    }
+                }
+                answer = under_way(&mut fetch) => {
+                    fetch = None;
+                    self.news(answer);
+                }
+            }
+        }
+    }
+
+    fn watch(&self) -> Call {
+        let path = format!("/registry/instances?index={}&wait={}", self.version, WATCH_WAIT.as_millis());
+        self.call(path, WATCH_WAIT + ANSWER_WAIT)
+    }
+
+    fn call(&self, path: String, wait: Duration) -> Call {
+        let (client, uri) = (self.client.clone(), format!("http://{}{path}", self.address));
+        let call = async move {
+            let request = Request::get(uri).body(Empty::new()).map_err(|e| e.to_string())?;
+            let response = client.request(request).await.map_err(|e| e.to_string())?;
+            if response.status() != StatusCode::OK {
+                return Err(response.status().to_string());
+            }
+            let body = Limited::new(response.into_body(), BODY_LIMIT).collect().await;
+            let body = body.map_err(|e| e.to_string())?.to_bytes();
+            serde_json::from_slice(&body).map_err(|e| format!("unreadable list: {e}"))
+        };
+        Box::pin(async move {
+            tokio::time::timeout(wait, call).await.unwrap_or_else(|_| Err("no answer".to_string()))
+        })
+    }
+
+    /// Takes an answer; says whether it was one.
+    fn news(&mut self, answer: Result<Listing, String>) -> bool {
+        match answer {
+            Ok(listing) if listing.reset => self.tell(ListKind::Full, listing),
+            Ok(listing) if listing.generation >= self.version => self.tell(ListKind::Changes, listing),
+            // A list fetched meanwhile is newer than these changes.
+            Ok(listing) => log::debug!("changes up to {} are known already", listing.generation),
+            Err(reason) => {
+                log::warn!("discovery: {reason}");
+                self.engine.handle(Event::Members { kind: ListKind::Failed, members: Vec::new() });
+                return false;
+            }
+        }
+        true
+    }
+
+    fn tell(&mut self, kind: ListKind, listing: Listing) {
+        log::debug!("{kind:?} list {}: {} entries", listing.generation, listing.instances.len());
+        self.version = listing.generation;
+        let members: Vec<Member> = listing.instances.iter().map(|i| i.member(&self.names)).collect();
+        let entries = listing.instances.iter().zip(&members);
+        let entries = entries.map(|(i, m)| (m.worker, i.instance_id.as_str(), i.host_port.as_str(), m.state));
+        self.upstream.apply(kind, entries);
+        self.engine.handle(Event::Members { kind, members });
+    }
+}
+
+async fn under_way(call: &mut Option<Call>) -> Result<Listing, String> {
+    match call {
+        Some(call) => call.await,
+        None => pending().await,
+    }
+}
--- /dev/null
+++ b/src/node/engine.rs
@@ -0,0 +1,192 @@
+//! Sole owner of the decision module, its clock and its timers.
+//!
+//! Every event enters through [`Engine::handle`]; every action that comes back is carried at once to the
+//! request context, the upstream group, discovery or the siblings it belongs to. Carrying never waits, so
+//! the lock is held for one event at a time. The engine must never judge, drop or reorder an action.
+
+use super::discovery::Ask;
+use super::upstream::UpstreamGroup;
+use silverproxy::interface::*;
+use silverproxy::policy::Policy;
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+/// The module's clock: Unix time at the start, monotonic from there on, so that the start times in
+/// discovery's lists need no translation.
+#[derive(Clone, Copy)]
+pub struct Clock {
+    started: Instant,
+    origin: Micros,
+}
+
+impl Clock {
+    /// A clock that reads Unix time now.
+    pub fn start() -> Clock {
+        let origin = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros() as Micros);
+        Clock { started: Instant::now(), origin }
+    }
+
+    /// The clock's reading.
+    pub fn now(&self) -> Micros {
+        self.origin + self.started.elapsed().as_micros() as Micros
+    }
+
+    /// The runtime's instant at which the clock reads `at`.
+    pub fn instant(&self, at: Micros) -> Instant {
+        self.started + Duration::from_micros(at.saturating_sub(self.origin))
+    }
+}
+
+/// What the module wants done for one request.
+#[derive(Debug)]
+pub enum Step {
+    /// Send an attempt to a peer.
+    Send {
+        /// The peer.
+        worker: WorkerId,
+        /// Stop waiting after this; `None`: when the client does.
+        timeout: Option<Micros>,
+    },
+    /// Call an attempt off.
+    Cancel(AttemptNo),
+    /// Final answer: refused.
+    Reject {
+        /// When the client may come back, from now; 0 for no advice.
+        retry_after: Micros,
+    },
+    /// Final answer: failed.
+    Fail,
+}
+
+struct Core {
+    policy: Policy,
+    timers: BinaryHeap<Reverse<(Micros, u64)>>,
+    requests: HashMap<RequestId, UnboundedSender<Step>>,
+    actions: Vec<Action>,
+}
+
+/// The module at work; see the head of this file.
+pub struct Engine {
+    /// The module's clock.
+    pub clock: Clock,
+    core: Mutex<Core>,
+    earlier_timer: Notify,
+    upstream: Arc<UpstreamGroup>,
+    asks: UnboundedSender<Ask>,
+    messages: UnboundedSender<(Peer, Vec<u8>)>,
+}
+
+impl Engine {
+    /// An engine around a module that has seen no event yet.
+    pub fn new(
+        policy: Policy,
+        upstream: Arc<UpstreamGroup>,
+        asks: UnboundedSender<Ask>,
+        messages: UnboundedSender<(Peer, Vec<u8>)>,
+    ) -> Engine {
+        let core = Core { policy, timers: BinaryHeap::new(), requests: HashMap::new(), actions: Vec::new() };
+        let (clock, earlier_timer) = (Clock::start(), Notify::new());
+        Engine { clock, core: Mutex::new(core), earlier_timer, upstream, asks, messages }
+    }
+
+    fn core(&self) -> MutexGuard<'_, Core> {
+        self.core.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Gives the module one event and carries out what it answers.
+    pub fn handle(&self, event: Event) {
+        let core = &mut *self.core();
+        self.step(core, event);
+    }
+
+    /// Hands a request to the module; its steps arrive on the receiver. `None` while its id is in use.
+    pub fn open(&self, request: Request) -> Option<UnboundedReceiver<Step>> {
+        let core = &mut *self.core();
+        if core.requests.contains_key(&request.id) {
+            return None;
+        }
+        let (steps, receiver) = unbounded_channel();
+        core.requests.insert(request.id, steps);
+        self.step(core, Event::Request(request));
+        Some(receiver)
+    }
+
+    /// Forgets where a request's steps go; its context has ended.
+    pub fn close(&self, id: RequestId) {
+        self.core().requests.remove(&id);
+    }
+
+    /// How many request contexts there are.
+    pub fn requests(&self) -> usize {
+        self.core().requests.len()
+    }
+
+    fn step(&self, core: &mut Core, event: Event) {
+        let mut actions = std::mem::take(&mut core.actions);
+        core.policy.handle(self.clock.now(), event, &mut actions);
+        for action in actions.drain(..) {
+            self.carry(core, action);
+        }
+        core.actions = actions;
+    }
+
+    fn carry(&self, core: &mut Core, action: Action) {
+        let (request, step) = match action {
+            Action::Send { request, worker, timeout } => (request, Step::Send { worker, timeout }),
+            Action::Cancel { request, attempt } => (request, Step::Cancel(attempt)),
+            Action::Refuse { request, retry_after } => (request, Step::Reject { retry_after }),
+            Action::Fail { request } => (request, Step::Fail),
+            Action::SetTimer { at, token } => {
+                if core.timers.peek().is_none_or(|Reverse((first, _))| at < *first) {
+                    self.earlier_timer.notify_one();
+                }
+                return core.timers.push(Reverse((at, token.0)));
+            }
+            Action::Subscribe(on) => return self.ask(Ask::Subscribe(on)),
+            Action::FetchList => return self.ask(Ask::Fetch),
+            Action::TellPeers { to, data } => {
+                if self.messages.send((to, data)).is_err() {
+                    log::debug!("no siblings to talk to");
+                }
+                return;
+            }
+            Action::CloseIdle(worker) => return self.upstream.close_idle(worker),
+            Action::Probe(worker) => return log::warn!("peers may not be probed: {worker:?}"),
+            Action::Log(text) => return log::info!("{text}"),
+        };
+        if core.requests.get(&request).is_none_or(|steps| steps.send(step).is_err()) {
+            log::debug!("{:016x}: a step for a request that has ended", request.0);
+        }
+    }
+
+    fn ask(&self, ask: Ask) {
+        if self.asks.send(ask).is_err() {
+            log::error!("discovery is not running");
+        }
+    }
+
+    /// Wakes the module whenever one of its timers falls due.
+    pub async fn run_timers(self: Arc<Self>) {
+        loop {
+            let next = self.core().timers.peek().map(|Reverse((at, _))| *at);
+            match next {
+                Some(at) if at <= self.clock.now() => {
+                    let core = &mut *self.core();
+                    if let Some(Reverse((_, token))) = core.timers.pop() {
+                        self.step(core, Event::Timer(TimerToken(token)));
+                    }
+                }
+                Some(at) => tokio::select! {
+                    () = tokio::time::sleep_until(self.clock.instant(at)) => {}
+                    () = self.earlier_timer.notified() => {}
+                },
+                None => self.earlier_timer.notified().await,
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/node/request.rs
@@ -0,0 +1,151 @@
+//! The request context and its life, from taken to exactly one answer.
+//!
+//! [`run`] owns the context: the module's steps, the attempts out, and the right to answer. It knows no
+//! protocol: front makes a [`Job`] and renders an [`Answer`]. It must never choose a peer, a pause or an
+//! answer itself; it asks the module, through the engine, at each point of choice.
+
+use super::engine::{Engine, Step};
+use super::upstream::{Ended, Parcel, UpstreamGroup};
+use bytes::Bytes;
+use futures_util::stream::{FuturesUnordered, StreamExt};
+use silverproxy::interface::*;
+use std::sync::Arc;
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::oneshot;
+
+/// A request as it was taken from a client, in no protocol's terms.
+pub struct Job {
+    /// What the module is told.
+    pub request: Request,
+    /// What a peer is given, unopened.
+    pub parcel: Parcel,
+}
+
+/// The one final answer.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// A peer's result.
+    Served(Bytes),
+    /// Refused: trying again is harmless, after this long.
+    Reject {
+        /// 0 for no advice.
+        retry_after: Micros,
+    },
+    /// Failed.
+    Failed,
+    /// The id belongs to a request that is still open.
+    Duplicate,
+}
+
+/// Takes the request on: its life goes on in a task of its own, since attempts may outlive the client.
+/// Dropping the receiver says that the client has gone.
+pub fn submit(engine: Arc<Engine>, upstream: Arc<UpstreamGroup>, job: Job) -> oneshot::Receiver<Answer> {
+    let (reply, answer) = oneshot::channel();
+    tokio::spawn(run(engine, upstream, job, reply));
+    answer
+}
+
+/// Holds a request's place with the engine; given back here and nowhere else.
+struct RequestContext {
+    engine: Arc<Engine>,
+    id: RequestId,
+    steps: UnboundedReceiver<Step>,
+    reply: Option<oneshot::Sender<Answer>>,
+}
+
+impl RequestContext {
+    fn answer(&mut self, answer: Answer) {
+        if let Some(reply) = self.reply.take() {
+            log::debug!("{:016x}: {answer:?}", self.id.0);
+            // Failure means that the client left in this instant; nobody is owed anything then.
+            let _ = reply.send(answer);
+        }
+    }
+
+    /// Resolves when the client leaves an unanswered request.
+    async fn client_left(reply: &mut Option<oneshot::Sender<Answer>>) {
+        match reply {
+            Some(reply) => reply.closed().await,
+            None => std::future::pending().await,
+        }
+    }
+}
+
+impl Drop for RequestContext {
+    fn drop(&mut self) {
+        // A life cut short must not leave the module waiting for a request that nobody carries any more.
+        if self.reply.take().is_some() {
+            self.engine.handle(Event::Withdrawn(self.id));
+        }
+        self.engine.close(self.id);
+    }
+}
+
+/// One request's life.
+async fn run(engine: Arc<Engine>, upstream: Arc<UpstreamGroup>, job: Job, reply: oneshot::Sender<Answer>) {
+    let Job { request, parcel } = job;
+    let (id, due) = (request.id, request.due);
+
+    // Taken: the module hears of the request and owes one final answer from here on.
+    let Some(steps) = engine.open(request) else {
+        let _ = reply.send(Answer::Duplicate);
+        return;
+    };
+    let mut context = RequestContext { engine: engine.clone(), id, steps, reply: Some(reply) };
+    let mut attempts = FuturesUnordered::new();
+    let mut cancels: Vec<Option<oneshot::Sender<()>>> = Vec::new();
+
+    // Alive until it is answered and each attempt has had its outcome.
+    while context.reply.is_some() || !attempts.is_empty() {
+        tokio::select! {
+            biased;
+            step = context.steps.recv() => match step {
+                Some(Step::Send { worker, timeout }) => {
+                    let attempt = AttemptNo(cancels.len() as u32);
+                    let sent = engine.clock.now();
+                    let until = timeout.map_or(due, |t| due.min(sent.saturating_add(t)));
+                    let (cancel, cancelled) = oneshot::channel();
+                    cancels.push(Some(cancel));
+                    let (engine, upstream, parcel) = (&engine, &upstream, &parcel);
+                    let moot = context.reply.is_none() || until <= sent;
+                    attempts.push(async move {
+                        let note = |note| engine.handle(Event::Note { request: id, attempt, note });
+                        let ended = if moot {
+                            Ended::Not(Status::Moot)
+                        } else {
+                            let wait = std::time::Duration::from_micros(until - sent);
+                            upstream.attempt(id, worker, parcel, wait, cancelled, note).await
+                        };
+                        (attempt, worker, sent, ended)
+                    });
+                }
+                Some(Step::Cancel(attempt)) => {
+                    if let Some(cancel) = cancels.get_mut(attempt.0 as usize).and_then(Option::take) {
+                        let _ = cancel.send(());
+                    }
+                }
+                Some(Step::Reject { retry_after }) => context.answer(Answer::Reject { retry_after }),
+                Some(Step::Fail) => context.answer(Answer::Failed),
+                // The engine never drops a sender before `close`.
+                None => return,
+            },
+            Some((attempt, worker, sent, ended)) = attempts.next() => {
+                let status = match ended {
+                    Ended::Served(result) => {
+                        context.answer(Answer::Served(result));
+                        Status::Ok
+                    }
+                    Ended::Not(status) => status,
+                };
+                let latency = engine.clock.now().saturating_sub(sent);
+                log::debug!("{:016x}: attempt {} at {worker:?}: {status:?} after {latency} us", id.0, attempt.0);
+                let closed = context.reply.is_none();
+                engine.handle(Event::Outcome { request: id, attempt, worker, status, latency, closed, load: None });
+            }
+            () = RequestContext::client_left(&mut context.reply) => {
+                context.reply = None;
+                engine.handle(Event::Withdrawn(id));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/node/siblings.rs
@@ -0,0 +1,52 @@
+//! Datagrams between the schedulers of one tier. Owns the UDP socket; carries the module's messages as they
+//! are, drops what is too long or comes from a stranger, and must never answer or repeat anything itself.
+
+use super::config::Siblings;
+use super::engine::Engine;
+use silverproxy::interface::{Event, Peer};
+use std::io;
+use std::sync::Arc;
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc::UnboundedReceiver;
+
+/// The longest datagram allowed; a longer one voids the run.
+const LONGEST: usize = 256;
+
+/// Binds the socket and carries messages both ways for as long as the engine lives.
+pub async fn run(
+    config: Siblings,
+    engine: Arc<Engine>,
+    mut outgoing: UnboundedReceiver<(Peer, Vec<u8>)>,
+) -> io::Result<()> {
+    let socket = UdpSocket::bind(config.listen).await?;
+    let mut buffer = [0; LONGEST + 1];
+    loop {
+        tokio::select! {
+            message = outgoing.recv() => {
+                let Some((to, data)) = message else { return Ok(()) };
+                let address = match to {
+                    Peer::One(number) => config.each.get(number as usize),
+                    Peer::All => config.all.as_ref(),
+                };
+                match address {
+                    Some(address) if data.len() <= LONGEST => {
+                        if let Err(error) = socket.send_to(&data, address).await {
+                            log::debug!("message to {address} not sent: {error}");
+                        }
+                    }
+                    _ => log::warn!("message of {} bytes to {to:?} dropped", data.len()),
+                }
+            }
+            received = socket.recv_from(&mut buffer) => match received {
+                Ok((length, sender)) => match config.each.iter().position(|known| *known == sender) {
+                    Some(from) if length <= LONGEST => {
+                        let data = buffer[..length].to_vec();
+                        engine.handle(Event::PeerMessage { from: from as u32, data });
+                    }
+                    _ => log::warn!("datagram of {length} bytes from {sender} dropped"),
+                },
+                Err(error) => log::debug!("datagram lost: {error}"),
+            },
+        }
+    }
+}
--- /dev/null
+++ b/src/node/upstream.rs
@@ -0,0 +1,479 @@
+//! The upstream group: the peers that discovery has named, their connections, and the attempts out at them.
+//!
+//! Each [`Peer`] owns its pool of connections; each attempt owns its place in the table of callbacks and
+//! gives it back when it is dropped. This file must never choose a peer, repeat a request by itself, or write
+//! to a peer that was told to be leaving while the attempt still waited for a connection.
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::header::{CONTENT_LENGTH, HOST};
+use hyper::rt::{Read, ReadBufCursor, Write};
+use hyper::{Method, Request, StatusCode, Uri};
+use hyper_util::client::legacy::connect::{capture_connection, Connected, Connection, HttpConnector};
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use serde::Deserialize;
+use silverproxy::interface::{ListKind, MemberState, Note, RequestId, Status, WorkerId};
+use std::collections::HashMap;
+use std::future::Future;
+use std::io::{self, IoSlice};
+use std::pin::Pin;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
+use tokio::sync::{oneshot, watch};
+use tower_service::Service;
+
+/// Idle connections kept for one peer; a job holds one only until its 202.
+const IDLE_PER_PEER: usize = 8;
+/// How long a peer is given to answer the call that gives an attempt up.
+const GIVE_UP_WAIT: Duration = Duration::from_secs(2);
+/// The longest body of an answer.
+const BODY_LIMIT: usize = 64 * 1024;
+
+/// What a peer is given of a request, unchanged.
+pub struct Parcel {
+    /// The request's id as the client wrote it.
+    pub id: String,
+    /// Path and query.
+    pub target: String,
+    /// The key under which peers drop a repeat.
+    pub idempotency_key: Option<String>,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// How an attempt ended.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Ended {
+    /// The peer's result for this request.
+    Served(Bytes),
+    /// Any other way.
+    Not(Status),
+}
+
+/// A peer's word on a job, sent to the address that clients use.
+#[derive(Debug, Deserialize)]
+pub struct Callback {
+    /// The request's id.
+    pub id: String,
+    /// The peer, by its name in discovery.
+    pub from: String,
+    /// What became of the job.
+    pub state: CallbackState,
+    /// Share done.
+    #[serde(default)]
+    pub share: f64,
+    /// The answer.
+    #[serde(default)]
+    pub result: String,
+}
+
+/// What a callback may tell.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "lowercase")]
+pub enum CallbackState {
+    /// The job has started.
+    Started,
+    /// It is running.
+    Running,
+    /// It is done.
+    Done,
+    /// It failed; it may have run.
+    Failed,
+    /// Handed back unstarted.
+    Returned,
+    /// Killed, or its process died; it may have run.
+    Lost,
+}
+
+/// The number by which the module knows a peer: a hash of its name alone (FNV-1a), so that all schedulers agree.
+pub fn worker_id(name: &str) -> WorkerId {
+    let hash = |h: u64, b: u8| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3);
+    WorkerId(name.bytes().fold(0xcbf2_9ce4_8422_2325, hash))
+}
+
+/// Reads a request id: exactly 16 hex digits.
+pub fn request_id(text: &str) -> Option<RequestId> {
+    let hex = text.len() == 16 && text.bytes().all(|b| b.is_ascii_hexdigit());
+    hex.then(|| u64::from_str_radix(text, 16).ok().map(RequestId)).flatten()
+}
+
+type PeerClient = Client<Dialer, Full<Bytes>>;
+type Table<T> = Mutex<HashMap<(RequestId, WorkerId), UnboundedSender<T>>>;
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// One peer and its connections.
+struct Peer {
+    name: String,
+    address: String,
+    client: Mutex<PeerClient>,
+    /// False once discovery has told that it drains or is gone.
+    taking: watch::Sender<bool>,
+}
+
+/// See the head of this file.
+pub struct UpstreamGroup {
+    peers: Mutex<HashMap<WorkerId, Arc<Peer>>>,
+    callbacks: Arc<Table<Callback>>,
+    dial_timeout: Duration,
+    idle: Duration,
+}
+
+/// An attempt's place in the table of callbacks.
+struct Inbox {
+    table: Arc<Table<Callback>>,
+    key: (RequestId, WorkerId),
+    calls: UnboundedReceiver<Callback>,
+}
+
+impl Drop for Inbox {
+    fn drop(&mut self) {
+        lock(&self.table).remove(&self.key);
+    }
+}
+
+impl UpstreamGroup {
+    /// A group without peers. `conn_idle` is when peers close an idle connection themselves.
+    pub fn new(dial_timeout: Duration, conn_idle: Duration) -> UpstreamGroup {
+        // Half of the peers' own time: a connection is never written to when it may just have expired.
+        let idle = conn_idle / 2;
+        UpstreamGroup { peers: Mutex::default(), callbacks: Arc::default(), dial_timeout, idle }
+    }
+
+    /// Follows discovery's news: for each peer its name, address and state.
+    pub fn apply<'a>(
+        &self,
+        kind: ListKind,
+        entries: impl Iterator<Item = (WorkerId, &'a str, &'a str, MemberState)>,
+    ) {
+        let peers = &mut *lock(&self.peers);
+        let mut missing: Vec<WorkerId> = match kind {
+            ListKind::Full | ListKind::Saved => peers.keys().copied().collect(),
+            ListKind::Changes | ListKind::Failed => Vec::new(),
+        };
+        for (worker, name, address, state) in entries {
+            missing.retain(|known| *known != worker);
+            if state == MemberState::Gone {
+                missing.push(worker);
+                continue;
+            }
+            let moved = peers.get(&worker).is_none_or(|peer| peer.address != address);
+            if moved {
+                let (taking, client) = (watch::Sender::new(true), Mutex::new(self.client()));
+                let (name, address) = (name.to_string(), address.to_string());
+                peers.insert(worker, Arc::new(Peer { name, address, client, taking }));
+            }
+            peers[&worker].taking.send_replace(state == MemberState::Ready);
+        }
+        for worker in missing {
+            if let Some(peer) = peers.remove(&worker) {
+                peer.taking.send_replace(false);
+            }
+        }
+    }
+
+    /// Closes the idle connections to a peer, by leaving the pool that holds them.
+    pub fn close_idle(&self, worker: WorkerId) {
+        if let Some(peer) = lock(&self.peers).get(&worker) {
+            *lock(&peer.client) = self.client();
+        }
+    }
+
+    /// Passes a callback to the attempt that it is about, if that is still out.
+    pub fn called_back(&self, callback: Callback) {
+        let Some(id) = request_id(&callback.id) else {
+            return log::warn!("callback with an unreadable id dropped");
+        };
+        let table = lock(&self.callbacks);
+        match table.get(&(id, worker_id(&callback.from))) {
+            // Failure means that the attempt is ending in this instant.
+            Some(inbox) => drop(inbox.send(callback)),
+            None => log::debug!("{:016x}: callback of {} for no attempt", id.0, callback.from),
+        }
+    }
+
+    fn client(&self) -> PeerClient {
+        let mut tcp = HttpConnector::new();
+        tcp.set_nodelay(true);
+        tcp.set_connect_timeout(Some(self.dial_timeout).filter(|t| !t.is_zero()));
+        Client::builder(TokioExecutor::new())
+            // A resend that the module does not know of would be a second attempt.
+            .retry_canceled_requests(false)
+            .pool_idle_timeout(self.idle)
+            .pool_max_idle_per_host(IDLE_PER_PEER)
+            .pool_timer(TokioTimer::new())
+            .build(Dialer(tcp))
+    }
+
+    fn listen(&self, id: RequestId, worker: WorkerId) -> Inbox {
+        let (sender, calls) = unbounded_channel();
+        lock(&self.callbacks).insert((id, worker), sender);
+        Inbox { table: self.callbacks.clone(), key: (id, worker), calls }
+    }
+
+    /// One attempt, from its dial to its outcome; waits no longer than `wait`.
+    pub async fn attempt(
+        &self,
+        id: RequestId,
+        worker: WorkerId,
+        parcel: &Parcel,
+        wait: Duration,
+        mut cancelled: oneshot::Receiver<()>,
+        note: impl Fn(Note),
+    ) -> Ended {
+        let Some(peer) = lock(&self.peers).get(&worker).cloned() else {
+            return Ended::Not(Status::ConnectFailed);
+        };
+        // Before the first byte: a callback may overtake the 202.
+        let mut inbox = self.listen(id, worker);
+        let until = tokio::time::sleep(wait);
+        tokio::pin!(until);
+        let mut taking = peer.taking.subscribe();
+        let mut waiting_for_connection = true;
+        let mut exchange = peer.exchange(Method::POST, &parcel.target, Some((parcel, wait)));
+        let mut accepted = false;
+        loop {
+            tokio::select! {
+                biased;
+                Ok(()) = &mut cancelled => {
+                    peer.give_up(accepted, &parcel.id);
+                    return Ended::Not(Status::Cancelled);
+                }
+                // Told to leave while the attempt waits for a connection: not one byte may go there now.
+                _ = taking.wait_for(|taking| !taking), if waiting_for_connection => {
+                    waiting_for_connection = false;
+                    if !exchange.connected() {
+                        return Ended::Not(Status::ConnectFailed);
+                    }
+                }
+                Some(call) = inbox.calls.recv() => {
+                    let ended = match call.state {
+                        CallbackState::Started => {
+                            note(Note::Started);
+                            continue;
+                        }
+                        CallbackState::Running => {
+                            note(Note::Progress(call.share));
+                            continue;
+                        }
+                        CallbackState::Done => Ended::Served(call.result.into()),
+                        CallbackState::Failed => Ended::Not(Status::Error),
+                        CallbackState::Returned => Ended::Not(Status::Full),
+                        CallbackState::Lost => Ended::Not(Status::Reset),
+                    };
+                    if !accepted {
+                        // The 202 is under way; reading it saves the connection.
+                        tokio::spawn(tokio::time::timeout(GIVE_UP_WAIT, exchange.answer));
+                    }
+                    return ended;
+                }
+                answer = &mut exchange.answer, if !accepted => match answer {
+                    Ok((StatusCode::ACCEPTED, _)) => {
+                        accepted = true;
+                        waiting_for_connection = false;
+                    }
+                    Ok((_, true)) => return Ended::Not(Status::Full),
+                    Ok((_, false)) => return Ended::Not(Status::Error),
+                    Err(Broken::NeverRan) => return Ended::Not(Status::ConnectFailed),
+                    Err(Broken::MayHaveRun) => return Ended::Not(Status::Reset),
+                },
+                () = &mut until => {
+                    peer.give_up(accepted, &parcel.id);
+                    let connected = accepted || exchange.connected();
+                    return Ended::Not(if connected { Status::Timeout } else { Status::ConnectFailed });
+                }
+            }
+        }
+    }
+}
+
+/// How an exchange broke.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Broken {
+    /// Before the request's last byte was written.
+    NeverRan,
+    /// After it, or we can't tell.
+    MayHaveRun,
+}
+
+type Answered = Result<(StatusCode, bool), Broken>;
+
+/// One request to a peer and its answer; dropping it closes the connection it was written to.
+struct Exchange {
+    connection: hyper_util::client::legacy::connect::CaptureConnection,
+    answer: Pin<Box<dyn Future<Output = Answered> + Send>>,
+}
+
+impl Exchange {
+    fn connected(&self) -> bool {
+        self.connection.connection_metadata().is_some()
+    }
+}
+
+impl Peer {
+    fn exchange(&self, method: Method, target: &str, job: Option<(&Parcel, Duration)>) -> Exchange {
+        let mut request =
+            Request::new(Full::new(job.map(|(parcel, _)| parcel.body.clone()).unwrap_or_default()));
+        *request.method_mut() = method;
+        *request.uri_mut() = format!("http://{}{target}", self.address).parse().unwrap_or_default();
+        let headers = request.headers_mut();
+        let mut header = |name: &'static str, value: &str| {
+            if let Ok(value) = value.parse() {
+                headers.insert(name, value);
+            }
+        };
+        header(HOST.as_str(), &self.address);
+        if let Some((parcel, wait)) = job {
+            header(CONTENT_LENGTH.as_str(), &parcel.body.len().to_string());
+            header("x-trace-id", &parcel.id);
+            header("x-expires-in", &format!("{}u", wait.as_micros()));
+            if let Some(key) = &parcel.idempotency_key {
+                header("idempotency-key", key);
+            }
+        }
+        let length = written_length(&request);
+        let connection = capture_connection(&mut request);
+        let client = lock(&self.client).clone();
+        let (seen, name) = (connection.clone(), self.name.clone());
+        let answer = async move {
+            let response = client.request(request).await;
+            let meter = {
+                let connected = connection.connection_metadata();
+                let mut extras = hyper::http::Extensions::new();
+                connected.iter().for_each(|connected| connected.get_extras(&mut extras));
+                extras.remove::<Meter>()
+            };
+            match response {
+                Ok(response) => {
+                    meter.iter().for_each(Meter::settle);
+                    let never_ran = response.headers().get("x-never-ran").is_some_and(|v| v == "1");
+                    let status = response.status();
+                    // The connection serves again only after the whole answer has been read.
+                    let _ = Limited::new(response.into_body(), BODY_LIMIT).collect().await;
+                    Ok((status, never_ran))
+                }
+                Err(error) => {
+                    let never_ran = error.is_connect() || meter.is_none_or(|meter| meter.open() < length);
+                    log::debug!("{name}: {error:?}, never ran: {never_ran}");
+                    Err(if never_ran { Broken::NeverRan } else { Broken::MayHaveRun })
+                }
+            }
+        };
+        Exchange { connection: seen, answer: Box::pin(answer) }
+    }
+
+    /// Gives an attempt up: after the 202 by a call; before it, dropping the exchange closes the connection.
+    fn give_up(&self, accepted: bool, id: &str) {
+        if accepted {
+            let call = self.exchange(Method::DELETE, &format!("/jobs/{id}"), None);
+            tokio::spawn(tokio::time::timeout(GIVE_UP_WAIT, call.answer));
+        }
+    }
+}
+
+/// Bytes that this request takes on a connection: every header is set by us, hyper adds none.
+fn written_length(request: &Request<Full<Bytes>>) -> u64 {
+    let target = request.uri().path_and_query().map_or(1, |target| target.as_str().len());
+    let line = request.method().as_str().len() + 1 + target + " HTTP/1.1\r\n".len();
+    let headers: usize = request.headers().iter().map(|(n, v)| n.as_str().len() + v.len() + 4).sum();
+    let body = hyper::body::Body::size_hint(request.body()).exact().unwrap_or(0);
+    (line + headers + 2) as u64 + body
+}
+
+/// Counts what is written to a connection, to tell requests that were written whole from those that were not.
+#[derive(Clone, Default)]
+struct Meter(Arc<(AtomicU64, AtomicU64)>);
+
+impl Meter {
+    /// All that was written belongs to exchanges that are over.
+    fn settle(&self) {
+        self.0 .1.store(self.0 .0.load(Ordering::Relaxed), Ordering::Relaxed);
+    }
+
+    /// Bytes written for the exchange in hand.
+    fn open(&self) -> u64 {
+        self.0 .0.load(Ordering::Relaxed) - self.0 .1.load(Ordering::Relaxed)
+    }
+
+    fn count(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        if let Poll::Ready(Ok(bytes)) = &written {
+            self.0 .0.fetch_add(*bytes as u64, Ordering::Relaxed);
+        }
+        written
+    }
+}
+
+/// Dials peers; its connections carry a [`Meter`].
+#[derive(Clone)]
+struct Dialer(HttpConnector);
+
+struct Metered {
+    io: TokioIo<TcpStream>,
+    meter: Meter,
+}
+
+impl Service<Uri> for Dialer {
+    type Response = Metered;
+    type Error = <HttpConnector as Service<Uri>>::Error;
+    type Future = Pin<Box<dyn Future<Output = Result<Metered, Self::Error>> + Send>>;
+
+    fn poll_ready(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), Self::Error>> {
+        self.0.poll_ready(cx)
+    }
+
+    fn call(&mut self, uri: Uri) -> Self::Future {
+        let dial = self.0.call(uri);
+        Box::pin(async move { Ok(Metered { io: dial.await?, meter: Meter::default() }) })
+    }
+}
+
+impl Connection for Metered {
+    fn connected(&self) -> Connected {
+        self.io.connected().extra(self.meter.clone())
+    }
+}
+
+impl Read for Metered {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.io).poll_read(cx, buffer)
+    }
+}
+
+impl Write for Metered {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, data: &[u8]) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.io).poll_write(cx, data);
+        self.meter.count(written)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        data: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.io).poll_write_vectored(cx, data);
+        self.meter.count(written)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.io.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.io).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.io).poll_shutdown(cx)
+    }
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -52,6 +52,11 @@
 /// What a field lacks, before the line is known.
 struct Fault(String, String);
 
+/// Reads the settings object on its own, for a dispatcher that finds it in its configuration. Line 0.
+pub fn settings(json: &str) -> Result<Settings, WireError> {
+    parse_settings(json).map_err(|Fault(field, reason)| WireError { line: 0, field, reason })
+}
+
 fn fault<T>(field: &str, reason: impl Into<String>) -> Result<T, Fault> {
     Err(Fault(field.to_string(), reason.into()))
 }
