Tell a refused client when to come back

Every refusal of the module carried no advice, so its answer had no Retry-After (policy.rs, `give_up` and the unknown class in `on_request`). It now names when the first worker of the class is thought to have room, bounded below by a held request's pause and above by what clients heed.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,17 @@
+# CONFIG names the file that a scheduler is started with; see README.md.
+CONFIG ?= config.json
+
+.PHONY: build test lint run
+
+build:
+	cargo build --release --locked
+
+test:
+	cargo test --locked
+
+lint:
+	cargo fmt --all -- --check
+	cargo clippy --locked --all-targets -- -D warnings
+
+run: build
+	BALANCER_CONFIG=$(CONFIG) target/release/vetchbridge
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -507,7 +507,9 @@
         }
         let class = request.class.0 as usize;
         if class >= self.settings.classes.len() {
-            actions.push(Action::Refuse { request: request.id, retry_after: 0 });
+            let limits = &self.settings.limits;
+            let retry_after = if limits.retry_after { limits.max_retry_after } else { 0 };
+            actions.push(Action::Refuse { request: request.id, retry_after });
             return;
         }
         let key = request.key.as_deref().map_or_else(|| mix(request.id.0), hash_key);
@@ -688,6 +690,19 @@
         }
     }
 
+    /// When a refused client should come back: once the first worker of its class is thought to have room,
+    /// no sooner than a held request would look again. 0, no advice, where clients are not told.
+    fn advice(&self, now: Micros, class: usize) -> Micros {
+        let limits = &self.settings.limits;
+        if !limits.retry_after {
+            return 0;
+        }
+        let kind = self.settings.classes[class].kind;
+        let able = self.workers.iter().filter(|w| w.ready && kind.is_none_or(|kind| kind == w.kind));
+        let room = able.map(|w| w.full_until.max(w.ejected_until).saturating_sub(now)).min();
+        room.map_or(limits.max_retry_after, |wait| wait.max(HOLD_BLIND)).min(limits.max_retry_after)
+    }
+
     /// Gives the final answer: a refusal where the rules let us promise that trying again is harmless.
     fn give_up(&mut self, now: Micros, id: RequestId, actions: &mut Vec<Action>) {
         let Some(open) = self.open.get(&id) else { return };
@@ -697,7 +712,8 @@
                 Effect::Keyed { .. } | Effect::Unsafe => false,
             };
         if harmless {
-            actions.push(Action::Refuse { request: id, retry_after: 0 });
+            let retry_after = self.advice(now, open.class);
+            actions.push(Action::Refuse { request: id, retry_after });
         } else {
             actions.push(Action::Fail { request: id });
         }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -117,3 +117,23 @@
     assert!(d.event(Event::Withdrawn(RequestId(1))).is_empty());
     assert!(sends(&d.event(outcome(1, 0, worker, Status::Full))).is_empty());
 }
+
+/// A client that is refused without a word comes back at once, to workers that are still full.
+#[test]
+fn a_refusal_says_when_to_come_back_where_clients_are_told() {
+    for told in [true, false] {
+        let mut settings = settings();
+        settings.limits.retry_after = told;
+        let most = settings.limits.max_retry_after;
+        let mut d = Driver::with_fleet(settings, 12);
+        let mut actions = d.request(1, SAFE, "k");
+        for attempt in 0..4 {
+            let worker = sent(&actions);
+            actions = d.event(outcome(1, attempt, worker, Status::Full));
+        }
+        let advice =
+            |a: &Action| if let Action::Refuse { retry_after, .. } = a { Some(*retry_after) } else { None };
+        let advice = actions.iter().find_map(advice).expect("out of attempts: refused");
+        assert!(if told { (1..=most).contains(&advice) } else { advice == 0 }, "told {told}: {advice}");
+    }
+}
