Add stories over loopback sockets; settings faults now name their key

The stories run the daemon as a process against scripted peers, discovery and clients: one for each kind of outcome, early and repeated callbacks, clients that leave, drains, unreadable lists, SIGTERM, bad input and bad configuration. A unit test guards a dial that outlasts the news that its peer drains.

Seen while writing them: a path of one segment was read with its slash (front.rs, `job`), an attempt still dialling a peer's old address was not stopped when the address changed (upstream.rs, `apply`), and settings that the module refuses were reported without the key's path (main.rs; now checked in config.rs). The story of a refused connection once stood still: it freed a port that another story was then given. Ruled out: a wrong outcome for refused dials. It now keeps a bound socket that never listens, and every story has a hang guard.

--- a/src/main.rs
+++ b/src/main.rs
@@ -9,7 +9,6 @@
 use node::front::{Front, Phase};
 use node::siblings;
 use node::upstream::UpstreamGroup;
-use silverproxy::policy::Policy;
 use std::error::Error;
 use std::process::ExitCode;
 use std::sync::Arc;
@@ -49,7 +48,7 @@
     let mut interrupt = signal(SignalKind::interrupt())?;
     let listener = TcpListener::bind(config.listen).await.map_err(|e| format!("{}: {e}", config.listen))?;
     log::info!("{} listens on {}", config.name, listener.local_addr()?);
-    let front = start(config, listener)?;
+    let front = start(config, listener);
 
     tokio::select! {
         _ = terminate.recv() => {}
@@ -72,14 +71,11 @@
     Ok(())
 }
 
-fn start(config: Config, listener: TcpListener) -> Result<Arc<Front>, Box<dyn Error>> {
+fn start(config: Config, listener: TcpListener) -> Arc<Front> {
     let (asks, asked) = unbounded_channel();
     let (messages, outgoing) = unbounded_channel();
-    let dial_timeout = Duration::from_micros(config.settings.limits.dial_timeout);
-    let upstream = Arc::new(UpstreamGroup::new(dial_timeout, config.conn_idle));
-    let classes = config.settings.classes.clone();
-    let policy = Policy::new(config.settings, config.seed)?;
-    let engine = Arc::new(Engine::new(policy, upstream.clone(), asks, messages));
+    let upstream = Arc::new(UpstreamGroup::new(config.dial_timeout, config.conn_idle));
+    let engine = Arc::new(Engine::new(config.policy, upstream.clone(), asks, messages));
     tokio::spawn(engine.clone().run_timers());
     if let Some(config) = config.siblings {
         let siblings = siblings::run(config, engine.clone(), outgoing);
@@ -93,7 +89,7 @@
     let discovery =
         Discovery::start(config.discovery, config.names, config.known, engine.clone(), upstream.clone());
     tokio::spawn(discovery.run(asked));
-    let front = Front::new(engine, upstream, class_names, classes, config.sockets);
+    let front = Front::new(engine, upstream, class_names, config.classes, config.sockets);
     tokio::spawn(front.clone().serve(listener));
-    Ok(front)
+    front
 }
--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -1,12 +1,13 @@
 //! The daemon's configuration: the one place where it is read, checked and given defaults.
 //!
 //! Owns nothing that lives on: it turns the environment and the file at `BALANCER_CONFIG` into a [`Config`],
-//! or into one message that names the faulty key. It must never open a socket or start the module.
+//! or into one message that names the faulty key. It must never open a socket or give the module an event.
 
 use super::discovery::{Listing, Names};
 use serde::de::DeserializeOwned;
 use serde_json::{Map, Value};
-use silverproxy::interface::Settings;
+use silverproxy::interface::Class;
+use silverproxy::policy::Policy;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -18,16 +19,18 @@
     pub listen: SocketAddr,
     /// Discovery's address.
     pub discovery: SocketAddr,
-    /// Seed of the module's random numbers.
-    pub seed: u64,
     /// Descriptors that the process may hold.
     pub sockets: usize,
     /// Where siblings' datagrams arrive and where each sibling is reached; absent where they may not talk.
     pub siblings: Option<Siblings>,
     /// The list of peers as this scheduler last had it.
     pub known: Listing,
-    /// The module's settings.
-    pub settings: Settings,
+    /// The module, which has checked its settings, and the parts of them that the sockets need.
+    pub policy: Policy,
+    /// The classes of requests.
+    pub classes: Vec<Class>,
+    /// A connection not made within this time has failed.
+    pub dial_timeout: Duration,
     /// What the settings' indices are called on the sockets.
     pub names: Names,
     /// A peer closes a connection that has been idle for this long.
@@ -105,7 +108,7 @@
         classes: class_names(&settings_json)?,
     };
     let root = Value::Object(root);
-    let idle: Option<u64> = match settings_json.get("limits") {
+    let idle = match settings_json.get("limits") {
         Some(limits) => optional(limits, "conn_idle", "settings.limits.conn_idle")?,
         None => None,
     };
@@ -113,17 +116,22 @@
         Some(limits) => optional(limits, "sockets", "limits.sockets")?,
         None => None,
     };
+    let seed = match u64::from_str_radix(&required::<String>(&root, "seed")?, 16) {
+        Ok(seed) => seed,
+        Err(error) => return bad("seed", error),
+    };
+    let (classes, limits) = (settings.classes.clone(), settings.limits.clone());
+    let policy = match Policy::new(settings, seed) {
+        Ok(policy) => policy,
+        Err(error) => return bad(&format!("settings.{}", error.field), error.reason),
+    };
     Ok(Config {
         name: required(&root, "name")?,
         listen: required(&root, "listen")?,
         discovery: required(&root, "discovery")?,
-        seed: match u64::from_str_radix(&required::<String>(&root, "seed")?, 16) {
-            Ok(seed) => seed,
-            Err(error) => return bad("seed", error),
-        },
         sockets: sockets.unwrap_or(DEFAULT_SOCKETS),
         siblings: match optional(&root, "peer_listen", "peer_listen")? {
-            Some(listen) if settings.limits.may_message_peers => Some(Siblings {
+            Some(listen) if limits.may_message_peers => Some(Siblings {
                 listen,
                 each: optional(&root, "peers", "peers")?.unwrap_or_default(),
                 all: optional(&root, "peers_all", "peers_all")?,
@@ -131,7 +139,9 @@
             _ => None,
         },
         known: optional(&root, "known", "known")?.unwrap_or_default(),
-        settings,
+        policy,
+        classes,
+        dial_timeout: Duration::from_micros(limits.dial_timeout),
         names,
         conn_idle: idle.filter(|idle| *idle > 0).map_or(DEFAULT_CONN_IDLE, Duration::from_micros),
     })
--- a/src/node/front.rs
+++ b/src/node/front.rs
@@ -228,7 +228,8 @@
         };
         let id_text = text("x-trace-id")?.ok_or("x-trace-id: missing")?;
         let id = request_id(id_text).ok_or("x-trace-id: not 16 hex digits")?;
-        let (first, rest) = path.trim_start_matches('/').split_once('/').unwrap_or((path, ""));
+        let path = path.trim_start_matches('/');
+        let (first, rest) = path.split_once('/').unwrap_or((path, ""));
         let class_name = text("x-qos")?.unwrap_or(first);
         let class = self.class_names.iter().position(|name| name == class_name);
         let class = class.ok_or_else(|| format!("x-qos: no class {class_name:?}"))?;
--- a/src/node/upstream.rs
+++ b/src/node/upstream.rs
@@ -168,7 +168,10 @@
             if moved {
                 let (taking, client) = (watch::Sender::new(true), Mutex::new(self.client()));
                 let (name, address) = (name.to_string(), address.to_string());
-                peers.insert(worker, Arc::new(Peer { name, address, client, taking }));
+                let peer = Arc::new(Peer { name, address, client, taking });
+                if let Some(old) = peers.insert(worker, peer) {
+                    old.taking.send_replace(false);
+                }
             }
             peers[&worker].taking.send_replace(state == MemberState::Ready);
         }
@@ -477,3 +480,39 @@
         Pin::new(&mut self.io).poll_shutdown(cx)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use tokio::net::TcpListener;
+
+    /// A dial can outlast the news that its peer drains; the job must not follow it there.
+    #[tokio::test]
+    async fn an_attempt_still_dialling_when_its_peer_drains_never_writes() {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("bound").to_string();
+        let group = UpstreamGroup::new(Duration::from_secs(60), Duration::from_secs(60));
+        let worker = worker_id("s-1");
+        let tell = |state| group.apply(ListKind::Changes, [(worker, "s-1", &*address, state)].into_iter());
+        tell(MemberState::Ready);
+        let (id, target) = ("00000000000000ab".to_string(), "/safe/k".to_string());
+        let parcel = Parcel { id, target, idempotency_key: None, body: Bytes::from_static(b"work") };
+        let (_cancel, cancelled) = oneshot::channel();
+        let wait = Duration::from_secs(60);
+        let attempt = group.attempt(RequestId(0xab), worker, &parcel, wait, cancelled, |_| {});
+        tokio::pin!(attempt);
+        // The first poll starts the dial; no dial ends before the runtime has looked at its sockets.
+        assert!(futures_util::poll!(attempt.as_mut()).is_pending());
+        tell(MemberState::Draining);
+        let written = async {
+            let (stream, _) = listener.accept().await.expect("a connection");
+            stream.readable().await.expect("readable");
+            stream.try_read(&mut [0; 1]).unwrap_or(0)
+        };
+        tokio::select! {
+            biased;
+            ended = attempt => assert_eq!(ended, Ended::Not(Status::ConnectFailed)),
+            bytes = written => panic!("{bytes} bytes were written to a draining peer"),
+        }
+    }
+}
--- /dev/null
+++ b/tests/node.rs
@@ -0,0 +1,440 @@
+//! Stories over loopback sockets: the daemon as a process, against scripted peers, discovery and clients.
+//! One story for each way that a peer, a client or an input has to go wrong. No bench is needed.
+#![allow(missing_docs)]
+
+use futures_util::future::select_all;
+use rstest::rstest;
+use serde_json::{json, Value};
+use std::io::{BufRead, BufReader, Read};
+use std::net::SocketAddr;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+
+/// A story that stands still fails; none of them measures time.
+const HANG: Duration = Duration::from_secs(60);
+const ACCEPTED: &str = "HTTP/1.1 202 Accepted\r\ncontent-length: 0\r\n\r\n";
+
+/// One end of a connection, spoken by hand so that a script can break off anywhere.
+struct Wire(TcpStream);
+
+impl Wire {
+    async fn dial(address: SocketAddr) -> Wire {
+        Wire(TcpStream::connect(address).await.expect("the daemon listens"))
+    }
+
+    /// The next whole message, in lower case but for its body; `None` once the other side has closed.
+    async fn read(&mut self) -> Option<(String, String)> {
+        let mut head = Vec::new();
+        while !head.ends_with(b"\r\n\r\n") {
+            head.push(self.0.read_u8().await.ok()?);
+        }
+        let head = String::from_utf8(head).expect("text").to_lowercase();
+        let length = header(&head, "content-length").map_or(0, |length| length.parse().expect("a length"));
+        let mut body = vec![0; length];
+        self.0.read_exact(&mut body).await.ok()?;
+        Some((head, String::from_utf8(body).expect("text")))
+    }
+
+    async fn write(&mut self, text: &str) {
+        self.0.write_all(text.as_bytes()).await.expect("the other side reads");
+    }
+
+    async fn post(&mut self, target: &str, headers: &str, body: &str) {
+        let length = body.len();
+        self.write(&format!(
+            "POST {target} HTTP/1.1\r\nhost: x\r\n{headers}content-length: {length}\r\n\r\n{body}"
+        ))
+        .await;
+    }
+
+    async fn list(&mut self, generation: u32, instances: Value) {
+        let body = json!({"generation": generation, "reset": true, "instances": instances}).to_string();
+        self.write(&format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{body}", body.len())).await;
+    }
+}
+
+fn header<'a>(head: &'a str, name: &str) -> Option<&'a str> {
+    head.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(": "))
+}
+
+fn status(answer: &Option<(String, String)>) -> &str {
+    answer.as_ref().expect("an answer").0.split(' ').nth(1).expect("a status")
+}
+
+fn instance(number: usize, address: SocketAddr, lifecycle: &str) -> Value {
+    json!({"instanceId": format!("s-{number}"), "hostPort": address.to_string(), "zone": "a", "machineType": "m",
+           "cell": 0, "lifecycle": lifecycle, "weight": 1.0, "startedAtMs": 0})
+}
+
+/// A configuration with two attempts a request and one class of each effect that matters here.
+fn config(discovery: SocketAddr, instances: Value) -> Value {
+    let class = |name: &str, repeat: &str| {
+        json!({"name": name, "repeat": repeat, "group": "all", "window": 5_000_000, "aim": 500_000,
+               "deadline": 60_000_000, "importance": 1.0})
+    };
+    json!({"name": "n0", "listen": "127.0.0.1:0", "discovery": discovery.to_string(), "seed": "8c1f30d27a5be964",
+        "known": {"generation": 1, "reset": true, "instances": instances},
+        "settings": {"me": 0, "balancers": 1, "areas": ["a"], "kinds": ["m"], "zone": 0, "tick": 4000,
+            "discovery": "ask", "services": [class("safe", "safe"), class("unsafe", "unsafe")],
+            "limits": {"max_attempts": 2, "may_cancel": true, "dial_timeout": 10_000_000, "retry_after": true,
+                       "max_retry_after": 2_000_000},
+            "rules": {"stop_sending_within": 500_000, "start_capacity": 0.2, "cold": 24_000_000,
+                      "tip_multiple": 2.5, "fall": 2_000_000}}})
+}
+
+fn daemon(config: &str) -> Command {
+    static FILES: AtomicU32 = AtomicU32::new(0);
+    let number = FILES.fetch_add(1, Ordering::Relaxed);
+    let path = format!("{}/{}-{number}.json", env!("CARGO_TARGET_TMPDIR"), std::process::id());
+    std::fs::write(&path, config).expect("written");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_vetchbridge"));
+    command.env_clear().env("BALANCER_CONFIG", path).stderr(Stdio::piped());
+    command
+}
+
+/// The daemon among scripted peers; killed when dropped.
+struct Stage {
+    daemon: Child,
+    address: SocketAddr,
+    discovery: TcpListener,
+    peers: Vec<TcpListener>,
+    next_id: u64,
+}
+
+impl Drop for Stage {
+    fn drop(&mut self) {
+        let _ = self.daemon.kill();
+        let _ = self.daemon.wait();
+    }
+}
+
+impl Stage {
+    async fn set(peers: usize) -> Stage {
+        Stage::set_with(peers, &[]).await
+    }
+
+    /// `others` are listed after the scripted peers.
+    async fn set_with(peers: usize, others: &[SocketAddr]) -> Stage {
+        let listener = || async { TcpListener::bind("127.0.0.1:0").await.expect("a port") };
+        let discovery = listener().await;
+        let mut listeners = Vec::new();
+        for _ in 0..peers {
+            listeners.push(listener().await);
+        }
+        let scripted = listeners.iter().map(|listener| listener.local_addr().expect("bound"));
+        let addresses = scripted.chain(others.iter().copied()).enumerate();
+        let known: Vec<Value> = addresses.map(|(n, address)| instance(n, address, "up")).collect();
+        let mut daemon = daemon(&config(discovery.local_addr().unwrap(), known.into()).to_string())
+            .spawn()
+            .expect("the daemon starts");
+        let mut log = BufReader::new(daemon.stderr.take().expect("piped")).lines();
+        let line = log.find(|line| line.as_ref().is_ok_and(|line| line.contains("listens on")));
+        let line = line.expect("a first line").expect("text");
+        std::thread::spawn(move || log.for_each(drop));
+        let address = line.rsplit(' ').next().expect("an address").parse().expect("an address");
+        Stage { daemon, address, discovery, peers: listeners, next_id: 0xab00 }
+    }
+
+    /// The next connection that any peer gets.
+    async fn peer(&self) -> (usize, Wire) {
+        let accepts = self.peers.iter().map(|peer| Box::pin(peer.accept()));
+        let (accepted, number, _) = select_all(accepts).await;
+        (number, Wire(accepted.expect("a connection").0))
+    }
+
+    /// A job of a class, its connection and its id.
+    async fn job(&mut self, class: &str, key: &str) -> (Wire, String) {
+        self.next_id += 1;
+        let id = format!("{:016x}", self.next_id);
+        let mut client = Wire::dial(self.address).await;
+        client
+            .post(&format!("/{class}/{key}"), &format!("X-Trace-Id: {id}\r\nX-Qos: {class}\r\n"), "work")
+            .await;
+        (client, id)
+    }
+
+    /// A peer's word on a job; it must be answered 200 whatever it says.
+    async fn call_back(&self, id: &str, peer: usize, state: &str) {
+        let mut wire = Wire::dial(self.address).await;
+        let body =
+            json!({"id": id, "from": format!("s-{peer}"), "state": state, "result": "made"}).to_string();
+        wire.post("/callback", "", &body).await;
+        assert_eq!(status(&wire.read().await), "200");
+    }
+
+    /// Lets whichever peer is asked next serve the job that is waiting.
+    async fn serve_next(&self, id: &str) {
+        let (number, mut peer) = self.peer().await;
+        peer.read().await.expect("the job");
+        peer.write(ACCEPTED).await;
+        self.call_back(id, number, "done").await;
+    }
+}
+
+/// What a worker is given is what the client sent, and callbacks may come early, twice, or for nobody.
+#[rstest]
+#[timeout(HANG)]
+#[tokio::test]
+async fn a_job_passes_unchanged_and_its_callback_may_overtake_the_202() {
+    let stage = Stage::set(1).await;
+    let mut client = Wire::dial(stage.address).await;
+    let headers =
+        "X-Trace-Id: 00000000000000ab\r\nX-Qos: safe\r\nX-Expires-In: 30000m\r\nIdempotency-Key: 5c0f\r\n";
+    client.post("/safe/a%2Fb?q=%20", headers, "some work").await;
+    let (number, mut peer) = stage.peer().await;
+    let (head, body) = peer.read().await.expect("the job");
+    assert!(head.starts_with("post /safe/a%2fb?q=%20 http/1.1"), "{head}");
+    assert_eq!(header(&head, "x-trace-id"), Some("00000000000000ab"));
+    assert_eq!(header(&head, "idempotency-key"), Some("5c0f"));
+    assert!(header(&head, "x-expires-in").is_some_and(|left| left.ends_with('u')), "{head}");
+    assert_eq!(body, "some work");
+    stage.call_back("00000000000000ab", 7, "done").await;
+    stage.call_back("not an id", number, "done").await;
+    stage.call_back("00000000000000ab", number, "started").await;
+    stage.call_back("00000000000000ab", number, "done").await;
+    stage.call_back("00000000000000ab", number, "done").await;
+    let answer = client.read().await;
+    assert_eq!((status(&answer), answer.as_ref().unwrap().1.as_str()), ("200", "made"));
+    // The connection is kept: the 202 was still read after the job was done.
+    peer.write(ACCEPTED).await;
+    client.post("/safe/c", "X-Trace-Id: 00000000000000ac\r\n", "more").await;
+    assert!(peer.read().await.expect("the next job").0.starts_with("post /safe/c "));
+}
+
+/// A job that may have run is sent again only as its class allows; one that never ran always may be.
+#[rstest]
+#[case::error("HTTP/1.1 500 Oops\r\ncontent-length: 0\r\n\r\n", "", true)]
+#[case::unavailable("HTTP/1.1 503 No\r\ncontent-length: 0\r\n\r\n", "", true)]
+#[case::never_ran("HTTP/1.1 503 No\r\nX-Never-Ran: 1\r\ncontent-length: 0\r\n\r\n", "", false)]
+#[case::broken_before_the_202("", "", true)]
+#[case::handed_back(ACCEPTED, "returned", false)]
+#[case::failed(ACCEPTED, "failed", true)]
+#[case::lost(ACCEPTED, "lost", true)]
+#[timeout(HANG)]
+#[tokio::test]
+async fn what_may_have_run_is_told_from_what_never_ran(
+    #[case] answer: &str,
+    #[case] callback: &str,
+    #[case] may_have_run: bool,
+    #[values("safe", "unsafe")] class: &str,
+) {
+    let mut stage = Stage::set(2).await;
+    let (mut client, id) = stage.job(class, "k").await;
+    let (number, mut peer) = stage.peer().await;
+    peer.read().await.expect("the job");
+    peer.write(answer).await;
+    if callback.is_empty() {
+        drop(peer);
+    } else {
+        stage.call_back(&id, number, callback).await;
+    }
+    let resent = class == "safe" || !may_have_run;
+    if resent {
+        stage.serve_next(&id).await;
+    }
+    assert_eq!(status(&client.read().await), if resent { "200" } else { "502" });
+}
+
+/// A peer that refuses connections never ran the job, whatever its class.
+#[rstest]
+#[timeout(HANG)]
+#[tokio::test]
+async fn a_refused_connection_sends_the_job_on() {
+    // Bound but not listening: refuses for certain, and no other test can be given its port.
+    let refusing = TcpSocket::new_v4().expect("a socket");
+    refusing.bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a port");
+    let mut stage = Stage::set_with(1, &[refusing.local_addr().expect("bound")]).await;
+    for key in 0..8 {
+        let (mut client, id) = stage.job("unsafe", &key.to_string()).await;
+        let (_, mut peer) = stage.peer().await;
+        peer.read().await.expect("the job");
+        // Ends the connection after each job, so that the next one is seen to be dialled.
+        peer.write("HTTP/1.1 202 Accepted\r\nconnection: close\r\ncontent-length: 0\r\n\r\n").await;
+        stage.call_back(&id, 0, "done").await;
+        assert_eq!(status(&client.read().await), "200");
+    }
+}
+
+/// A connection that the peer has closed while it was idle is never written to.
+#[rstest]
+#[timeout(HANG)]
+#[tokio::test]
+async fn a_connection_closed_by_the_peer_is_not_used_again() {
+    let mut stage = Stage::set(1).await;
+    let (mut client, id) = stage.job("unsafe", "k").await;
+    let (number, mut peer) = stage.peer().await;
+    peer.read().await.expect("the job");
+    peer.write(ACCEPTED).await;
+    stage.call_back(&id, number, "done").await;
+    assert_eq!(status(&client.read().await), "200");
+    peer.0.shutdown().await.expect("closed");
+    assert!(peer.read().await.is_none(), "the daemon closes its side too");
+    let (mut client, id) = stage.job("unsafe", "k").await;
+    stage.serve_next(&id).await;
+    assert_eq!(status(&client.read().await), "200");
+}
+
+/// A client that leaves takes its attempt with it: by a call after the 202, by the connection before it.
+#[rstest]
+#[timeout(HANG)]
+#[tokio::test]
+async fn a_client_that_leaves_has_its_attempt_given_up(#[values(true, false)] accepted: bool) {
+    let mut stage = Stage::set(1).await;
+    let (client, id) = stage.job("safe", "k").await;
+    let (number, mut peer) = stage.peer().await;
+    peer.read().await.expect("the job");
+    if accepted {
+        peer.write(ACCEPTED).await;
+        // Its answer shows that the daemon is past the 202, which came before.
+        stage.call_back(&id, number, "started").await;
+    }
+    drop(client);
+    let given_up = peer.read().await.map(|(head, _)| head);
+    let call = format!("delete /jobs/{id} http/1.1");
+    assert_eq!(given_up.is_some_and(|head| head.starts_with(&call)), accepted);
+}
+
+/// A module that gives up answers at once and says when to come back.
+#[rstest]
+#[timeout(HANG)]
+#[tokio::test]
+async fn a_job_turned_away_everywhere_is_rejected_with_advice() {
+    let mut stage = Stage::set(2).await;
+    let (mut client, _) = stage.job("unsafe", "k").await;
+    for _ in 0..2 {
+        let (_, mut peer) = stage.peer().await;
+        peer.read().await.expect("the job");
+        peer.write("HTTP/1.1 504 No\r\nX-Never-Ran: 1\r\ncontent-length: 0\r\n\r\n").await;
+    }
+    let answer = client.read().await;
+    assert_eq!(status(&answer), "503");
+    let seconds: f64 = header(&answer.unwrap().0, "retry-after").expect("advice").parse().expect("a number");
+    assert!(seconds > 0.0 && seconds <= 2.0, "{seconds}");
+}
+
+/// The watch goes on from the version last told, a list that can't be read changes nothing, and a peer that
+/// drains gets nothing new.
+#[rstest]
+#[timeout(HANG)]
+#[tokio::test]
+async fn the_upstream_group_follows_discovery() {
+    let mut stage = Stage::set(2).await;
+    let address = |n: usize, stage: &Stage| stage.peers[n].local_addr().unwrap();
+    let lists =
+        [json!([instance(0, address(0, &stage), "up")]), json!([{"instanceId": "s-0", "lifecycle": "?"}])];
+    let mut watch = Wire(stage.discovery.accept().await.expect("the watch").0);
+    for (list, version) in lists.into_iter().zip([1, 5]) {
+        let (head, _) = watch.read().await.expect("a call");
+        assert!(head.starts_with(&format!("get /registry/instances?index={version}&wait=")), "{head}");
+        watch.list(5, list).await;
+    }
+    // The unreadable list ended the watch; the module asks again from the version that it has.
+    assert!(watch.read().await.expect("a call").0.contains("index=5&"));
+    for key in 0..8 {
+        let (mut client, id) = stage.job("safe", &key.to_string()).await;
+        let mut peer = Wire(stage.peers[0].accept().await.expect("peer 0 is asked").0);
+        peer.read().await.expect("the job");
+        peer.write("HTTP/1.1 202 Accepted\r\nconnection: close\r\ncontent-length: 0\r\n\r\n").await;
+        stage.call_back(&id, 0, "done").await;
+        assert_eq!(status(&client.read().await), "200");
+    }
+}
+
+/// At a planned restart nothing that was taken is lost: not ready, still taking, hanging up, then gone.
+#[rstest]
+#[timeout(HANG)]
+#[tokio::test]
+async fn sigterm_lets_everything_taken_be_answered() {
+    let mut stage = Stage::set(1).await;
+    let (mut early, early_id) = stage.job("safe", "k").await;
+    let (number, mut peer) = stage.peer().await;
+    peer.read().await.expect("the job");
+    peer.write(ACCEPTED).await;
+    let kill = Command::new("kill").arg(stage.daemon.id().to_string()).status().expect("kill runs");
+    assert!(kill.success());
+    // Readiness is asked until the signal has arrived.
+    let closed = loop {
+        let mut front = Wire::dial(stage.address).await;
+        front.write("GET /health/ready HTTP/1.1\r\nhost: x\r\n\r\n").await;
+        let answer = front.read().await;
+        if status(&answer) == "503" {
+            break answer.unwrap().0;
+        }
+    };
+    assert_eq!(header(&closed, "connection"), Some("close"));
+    let (mut late, late_id) = stage.job("safe", "k").await;
+    peer.read().await.expect("the late job");
+    peer.write(ACCEPTED).await;
+    for (client, id) in [(&mut early, early_id), (&mut late, late_id)] {
+        stage.call_back(&id, number, "done").await;
+        let answer = client.read().await;
+        assert_eq!(status(&answer), "200");
+        assert_eq!(header(&answer.unwrap().0, "connection"), Some("close"));
+    }
+    assert!(stage.daemon.wait().expect("it ends").success());
+}
+
+/// No input ends the program or reaches a peer half understood.
+#[rstest]
+#[timeout(HANG)]
+#[tokio::test]
+async fn bad_input_is_answered_and_survived() {
+    let mut stage = Stage::set(1).await;
+    let id = "X-Trace-Id: 00000000000000ab\r\n";
+    let too_long = "x".repeat(64 * 1024 + 1);
+    let cases = [
+        ("/safe/k", String::new(), "", "400"),
+        ("/safe/k", "X-Trace-Id: zz\r\n".to_string(), "", "400"),
+        ("/safe/k", "X-Trace-Id: +0000000000000ab\r\n".to_string(), "", "400"),
+        ("/odd/k", id.to_string(), "", "400"),
+        ("/safe/k", format!("{id}X-Expires-In: soon\r\n"), "", "400"),
+        ("/safe/k", format!("{id}X-Expires-In: -5m\r\n"), "", "400"),
+        ("/safe/k", format!("{id}X-Size-Hint: big\r\n"), "", "400"),
+        ("/safe/k", format!("{id}X-Qos: s\u{e9}\r\n"), "", "400"),
+        ("/safe/k", id.to_string(), too_long.as_str(), "413"),
+        ("/callback", String::new(), "{\"id\":", "400"),
+        ("/callback", String::new(), "{\"id\":\"0\",\"from\":\"?\",\"state\":\"done\"}", "200"),
+    ];
+    for (target, headers, body, expected) in cases {
+        let mut client = Wire::dial(stage.address).await;
+        client.post(target, &headers, body).await;
+        assert_eq!(status(&client.read().await), expected, "{target} {headers}");
+    }
+    let (mut client, id) = stage.job("safe", "k").await;
+    let (number, mut peer) = stage.peer().await;
+    peer.read().await.expect("the job");
+    // A second request under an id that is still open would rob the first of its answer.
+    let mut twin = Wire::dial(stage.address).await;
+    twin.post("/safe/k", &format!("X-Trace-Id: {id}\r\n"), "").await;
+    assert_eq!(status(&twin.read().await), "409");
+    peer.write(ACCEPTED).await;
+    stage.call_back(&id, number, "done").await;
+    assert_eq!(status(&client.read().await), "200");
+}
+
+/// A configuration that can't be used ends the start with the key's name.
+#[rstest]
+#[case::listen("/listen", json!("nowhere"), "listen")]
+#[case::seed("/seed", json!("seed"), "seed")]
+#[case::sockets("/limits", json!({"sockets": "many"}), "limits.sockets")]
+#[case::known("/known", json!({"generation": 1}), "known")]
+#[case::settings("/settings", json!([]), "settings")]
+#[case::attempts("/settings/limits/max_attempts", json!(0), "settings.limits.max_attempts")]
+#[case::window("/settings/rules/cold", json!("late"), "settings.rules.cold")]
+#[case::class("/settings/services/0/name", Value::Null, "settings.services[].name")]
+fn a_faulty_key_is_named(#[case] path: &str, #[case] value: Value, #[case] key: &str) {
+    let nowhere = SocketAddr::from(([127, 0, 0, 1], 1));
+    let mut config = config(nowhere, json!([]));
+    match config.pointer_mut(path) {
+        Some(old) => *old = value,
+        None => config[&path[1..]] = value,
+    }
+    let mut daemon = daemon(&config.to_string()).spawn().expect("the daemon starts");
+    assert!(!daemon.wait().expect("it ends").success());
+    let mut log = String::new();
+    daemon.stderr.take().expect("piped").read_to_string(&mut log).expect("text");
+    assert!(log.contains(&format!("configuration: {key}: ")), "{log}");
+}
