Count a worker that keeps an own job from starting as busy

The bound in policy.rs (`Worker::busy`) starts at infinity and only refusals lower it; a slow worker with room in its queue refuses nothing, so nothing spilled. Notes of starts were dropped in `handle`. Ruled out: the sockets, which add 0.2 to 0.5 ms, no repeat and no connection trouble. Now a job unstarted after 60 ms means that the slots are full, and the next one goes to the second choice, as the design has it.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -3,8 +3,8 @@
 //! The ordinary path is one mechanism: a job's key is hashed onto a consistent ring on which every worker
 //! holds virtual points in proportion to its size; the first worker clockwise takes the job, the next
 //! point's other worker takes it when the first is busy. Everything else here is either one of the four
-//! rules (one answer, no double effect, drains, cold workers) or a stated exception; `docs/design.md` says
-//! under what conditions each acts. The module reads no clock, does no I/O and draws only on its seed.
+//! rules (one answer, no double effect, drains, cold workers) or a stated exception, said where it acts. The
+//! module reads no clock, does no I/O and draws only on its seed.
 
 use crate::interface::*;
 use std::collections::BTreeMap;
@@ -57,6 +57,8 @@
 /// Blind repeats earned by each job served, and how many may be saved up: when everything is full, repeats
 /// add cost and connections but no capacity, so they stay in proportion to what is served.
 const REPEAT_BUDGET: (f64, f64) = (1.0, 10.0);
+/// Word of a start takes no longer than this where the job need not wait, microseconds.
+const START_LAG: Micros = 60_000;
 /// Weight of one attempt in the running share of attempts taken in.
 const ACCEPTED_STEP: f64 = 0.05;
 /// First time that a worker that failed is passed over, microseconds; doubles up to the second figure.
@@ -122,6 +124,7 @@
     kind: KindId,
     cell: CellId,
     ready: bool,
+    tells_start: bool,
     units: f64,
     points: u32,
     born: Micros,
@@ -136,6 +139,8 @@
     bound: f64,
     /// Own attempts out: request, attempt, when sent, slots.
     out: Vec<(RequestId, u32, Micros, f64)>,
+    /// Those of them that have started, where workers tell.
+    started: Vec<(RequestId, u32)>,
     probe_sent: Option<Micros>,
     waiters: Vec<RequestId>,
     /// Refusals since it last served one of ours.
@@ -159,11 +164,17 @@
         Some(self.report.free_slots? - unseen)
     }
 
+    /// Whether an own job has waited here for longer than word of its start takes: the slots are full.
+    fn keeps_waiting(&self, now: Micros) -> bool {
+        let overdue = |o: &&(RequestId, u32, Micros, f64)| o.2 + START_LAG < now;
+        self.tells_start && self.out.iter().filter(overdue).any(|o| !self.started.contains(&(o.0, o.1)))
+    }
+
     fn busy(&self, now: Micros, slots: f64) -> bool {
         match self.free_slots(now) {
             Some(free) => free + 0.5 < slots.min(self.slots_seen.max(1.0)),
             None if now.saturating_sub(self.listed_load.1) < REPORT_HORIZON => self.listed_load.0 >= 1.0,
-            None => self.own_slots() + slots > self.bound.max(slots),
+            None => self.own_slots() + slots > self.bound.max(slots) || self.keeps_waiting(now),
         }
     }
 
@@ -277,7 +288,8 @@
             Event::Outcome { request, attempt, worker, status, latency, closed, load } => {
                 self.on_outcome(now, request, attempt, worker, (status, latency), closed, load, actions)
             }
-            Event::StreamStarted { .. } | Event::Note { .. } | Event::PeerMessage { .. } => {}
+            Event::Note { request, attempt, note: _ } => self.on_note(request, attempt),
+            Event::StreamStarted { .. } | Event::PeerMessage { .. } => {}
             Event::Withdrawn(request) => self.close(now, request, actions),
             Event::Timer(token) => self.on_timer(now, token, actions),
             Event::Probed { worker, status, latency: _, load } => {
@@ -326,7 +338,7 @@
                 if ready {
                     self.index.insert(member.worker, self.workers.len());
                     added.push(self.workers.len());
-                    self.workers.push(new_worker(&member, units));
+                    self.workers.push(new_worker(&member, units, self.settings.tells_start));
                     self.stamp.push(0);
                 }
                 continue;
@@ -342,7 +354,7 @@
             if member.born > worker.born {
                 // A restarted process: nothing learned of the old one holds.
                 let (out, points) = (std::mem::take(&mut worker.out), worker.points);
-                *worker = Worker { out, points, ..new_worker(&member, units) };
+                *worker = Worker { out, points, ..new_worker(&member, units, self.settings.tells_start) };
             }
             if self.settings.weights == Weights::Size && (units / worker.units - 1.0).abs() > 0.01 {
                 worker.units = units;
@@ -769,6 +781,7 @@
             return;
         };
         self.workers[at].out.swap_remove(place);
+        self.workers[at].started.retain(|s| *s != (id, attempt.0));
         self.learn(now, at, load);
         let shared = self.trouble_is_shared();
         self.judge(now, at, status, latency);
@@ -824,6 +837,16 @@
         self.ejected = self.workers.iter().filter(|w| w.ready && now < w.ejected_until).count();
     }
 
+    /// Word of a start or of progress: the job has its slots.
+    fn on_note(&mut self, id: RequestId, attempt: AttemptNo) {
+        let tried = self.open.get(&id).and_then(|open| open.attempts.get(attempt.0 as usize));
+        let Some(&at) = tried.and_then(|tried| self.index.get(&tried.worker)) else { return };
+        let (worker, word) = (&mut self.workers[at], (id, attempt.0));
+        if worker.out.iter().any(|o| (o.0, o.1) == word) && !worker.started.contains(&word) {
+            worker.started.push(word);
+        }
+    }
+
     fn on_probed(
         &mut self,
         now: Micros,
@@ -874,7 +897,7 @@
     }
 }
 
-fn new_worker(member: &Member, units: f64) -> Worker {
+fn new_worker(member: &Member, units: f64, tells_start: bool) -> Worker {
     let (id, zone, kind, cell, born) = (member.worker, member.zone, member.kind, member.cell, member.born);
     let ready = member.state == MemberState::Ready;
     Worker {
@@ -883,6 +906,7 @@
         kind,
         cell,
         ready,
+        tells_start,
         units,
         born,
         slots_seen: 1.0,
--- a/tests/ring.rs
+++ b/tests/ring.rs
@@ -323,3 +323,25 @@
     }
     assert!((12..=20 * 4 + 40).contains(&probes), "{probes} probes for 20 jobs");
 }
+
+/// A slow worker refuses nothing while its queue has room; only word of starts shows that jobs wait there.
+#[test]
+fn a_worker_that_keeps_a_job_from_starting_spills_to_the_second_choice() {
+    for (told, started) in [(true, true), (true, false), (false, false)] {
+        let mut settings = settings();
+        settings.tells_start = told;
+        let mut d = Driver::with_fleet(settings, 12);
+        let home = sent(&d.request(1, SAFE, "k"));
+        if started {
+            let (request, attempt) = (RequestId(1), AttemptNo(0));
+            d.event(Event::Note { request, attempt, note: Note::Started });
+        }
+        d.now += 300 * MS;
+        // Another key of the same home: a key seen twice may already be spread.
+        let alone = |key: &String| sent(&Driver::with_fleet(common::settings(), 12).request(1, SAFE, key));
+        let key =
+            (0..).map(|n| format!("key-{n}")).find(|key| alone(key) == home).expect("arcs have many keys");
+        let next = sent(&d.request(2, SAFE, &key));
+        assert_eq!(next == home, started || !told, "told {told}, started {started}");
+    }
+}
