Give a cold worker no last-resort job

In policy.rs, `place`, the less loaded of both choices takes a job when all are busy, and a cold worker's load is not weighed by its warmth. Cold workers now take no such job.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -641,7 +641,9 @@
         }
         // The less loaded of both choices takes the job into its queue. Once a worker has refused it, it
         // waits here: walking on carries the key's data to strangers and loads the fleet with refusals.
-        let choices = candidates.iter().take(2).copied().filter(|at| now >= self.workers[*at].full_until);
+        // A cold worker takes none of it: queues only grow there, and the pressure topples it.
+        let open_to = |w: &Worker| now >= w.full_until && w.warmth(now, &self.settings.rules) >= 1.0;
+        let choices = candidates.iter().take(2).copied().filter(|at| open_to(&self.workers[*at]));
         let best = choices.min_by(|a, b| self.workers[*a].load(now).total_cmp(&self.workers[*b].load(now)));
         match best {
             Some(at) if attempts == 0 && !late => self.send(now, id, at, actions),
--- a/tests/ring.rs
+++ b/tests/ring.rs
@@ -345,3 +345,18 @@
         assert_eq!(next == home, started || !told, "told {told}, started {started}");
     }
 }
+
+/// Once its slots are full, a worker that is still warming up must not be handed a queue as well: it topples.
+#[test]
+fn a_busy_cold_worker_is_not_the_last_resort() {
+    let mut settings = settings();
+    settings.tells_start = true;
+    let mut d = Driver::new(settings);
+    let cold = Member { born: d.now - S, ..member(1) };
+    d.event(list(ListKind::Full, [cold]));
+    let first = (0..100).find(|id| !sends(&d.request(*id, SAFE, &format!("key-{id}"))).is_empty());
+    assert!(first.is_some(), "an idle cold worker takes some jobs");
+    d.now += 300 * MS;
+    let more: usize = (100..200).map(|id| sends(&d.request(id, SAFE, &format!("key-{id}"))).len()).sum();
+    assert_eq!(more, 0);
+}
