Follow discovery to its new address at SIGHUP instead of ending

Checked: the environment's BALANCER_DISCOVERY won over the file (config.rs, parse), and versions of two discoveries can't be compared, so a watch from the old version would miss or misread the new list. Now a reload parses the whole file through config.rs, the file's address wins, and the whole list is taken first. The new story times out without the change.

--- a/src/main.rs
+++ b/src/main.rs
@@ -4,7 +4,7 @@
 mod node;
 
 use node::config::{self, Config};
-use node::discovery::Discovery;
+use node::discovery::{Ask, Discovery};
 use node::engine::Engine;
 use node::front::{Front, Phase};
 use node::siblings;
@@ -14,8 +14,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{signal, SignalKind};
-use tokio::sync::mpsc::unbounded_channel;
+use tokio::signal::unix::{signal, Signal, SignalKind};
+use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
 use tokio::time::{sleep, sleep_until, Instant};
 
 /// After SIGTERM, idle connections are left to their clients for this long: the front may still deal them out.
@@ -46,9 +46,13 @@
     let config = config::load()?;
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
+    let hangup = signal(SignalKind::hangup())?;
     let listener = TcpListener::bind(config.listen).await.map_err(|e| format!("{}: {e}", config.listen))?;
     log::info!("{} listens on {}", config.name, listener.local_addr()?);
-    let front = start(config, listener);
+    let (asks, asked) = unbounded_channel();
+    // To the very end: while it drains, the scheduler still places jobs and needs the list.
+    tokio::spawn(reload_on(hangup, asks.clone()));
+    let front = start(config, listener, asks, asked);
 
     tokio::select! {
         _ = terminate.recv() => {}
@@ -71,8 +75,26 @@
     Ok(())
 }
 
-fn start(config: Config, listener: TcpListener) -> Arc<Front> {
-    let (asks, asked) = unbounded_channel();
+/// Reads the configuration again at each SIGHUP. Discovery moves at once; all else is for the next start. One
+/// that can't be used changes nothing.
+async fn reload_on(mut hangup: Signal, asks: UnboundedSender<Ask>) {
+    while hangup.recv().await.is_some() {
+        match config::reload() {
+            Ok(config) if asks.send(Ask::Move(config.discovery)).is_ok() => {
+                log::info!("configuration read again")
+            }
+            Ok(_) => log::error!("discovery is not running"),
+            Err(error) => log::error!("{error}; the old configuration stays"),
+        }
+    }
+}
+
+fn start(
+    config: Config,
+    listener: TcpListener,
+    asks: UnboundedSender<Ask>,
+    asked: UnboundedReceiver<Ask>,
+) -> Arc<Front> {
     let (messages, outgoing) = unbounded_channel();
     let upstream = Arc::new(UpstreamGroup::new(config.dial_timeout, config.conn_idle));
     let engine = Arc::new(Engine::new(config.policy, upstream.clone(), asks, messages));
--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -69,15 +69,24 @@
 const DEFAULT_SOCKETS: usize = 1024;
 const DEFAULT_CONN_IDLE: Duration = Duration::from_secs(60);
 
+fn env(key: &str) -> Option<String> {
+    std::env::var(key).ok().filter(|value| !value.is_empty())
+}
+
+fn text() -> Result<String, ConfigError> {
+    let Some(path) = env("BALANCER_CONFIG") else { return bad("BALANCER_CONFIG", "not set") };
+    std::fs::read_to_string(&path).or_else(|error| bad("BALANCER_CONFIG", format!("{path}: {error}")))
+}
+
 /// Reads the environment and the file that it names.
 pub fn load() -> Result<Config, ConfigError> {
-    let env = |key: &str| std::env::var(key).ok().filter(|value| !value.is_empty());
-    let Some(path) = env("BALANCER_CONFIG") else { return bad("BALANCER_CONFIG", "not set") };
-    let text = match std::fs::read_to_string(&path) {
-        Ok(text) => text,
-        Err(error) => return bad("BALANCER_CONFIG", format!("{path}: {error}")),
-    };
-    parse(&text, env)
+    parse(&text()?, env)
+}
+
+/// Reads them again in a running daemon. The environment is as old as the process while the file is new, so
+/// the file's `discovery` wins here.
+pub fn reload() -> Result<Config, ConfigError> {
+    parse(&text()?, |key| env(key).filter(|_| key != "BALANCER_DISCOVERY"))
 }
 
 /// Checks the file's text; `env` wins over the keys that it names.
--- a/src/node/discovery.rs
+++ b/src/node/discovery.rs
@@ -2,7 +2,8 @@
 //!
 //! Owns the version last seen and the calls under way. News goes to the upstream group first and to the
 //! module next, in the order it came; a call that fails becomes one `Failed` event and ends the watch until
-//! the module subscribes again. It must never ask unbidden, nor drop the list it has for one it can't read.
+//! the module subscribes again. It must never ask unbidden (but for a move of discovery itself), nor drop the
+//! list it has for one it can't read, nor compare versions of one discovery with those of another.
 
 use super::engine::Engine;
 use super::upstream::{worker_id, UpstreamGroup};
@@ -113,6 +114,8 @@
     Subscribe(bool),
     /// The whole list, once.
     Fetch,
+    /// Discovery is at this address from now on. The operators' ask, not the module's.
+    Move(SocketAddr),
 }
 
 type Call = Pin<Box<dyn Future<Output = Result<Listing, String>> + Send>>;
@@ -124,7 +127,8 @@
     names: Names,
     engine: Arc<Engine>,
     upstream: Arc<UpstreamGroup>,
-    version: u64,
+    /// The version last seen at this address; `None` before its first whole list.
+    version: Option<u64>,
 }
 
 impl Discovery {
@@ -143,7 +147,7 @@
             .pool_idle_timeout(IDLE)
             .pool_timer(TokioTimer::new())
             .build(tcp);
-        let mut discovery = Discovery { address, client, names, engine, upstream, version: 0 };
+        let mut discovery = Discovery { address, client, names, engine, upstream, version: None };
         discovery.tell(ListKind::Saved, known);
         discovery
     }
@@ -156,7 +160,14 @@
                 ask = asks.recv() => match ask {
                     Some(Ask::Subscribe(true)) => watch = Some(self.watch()),
                     Some(Ask::Subscribe(false)) => watch = None,
-                    Some(Ask::Fetch) => fetch = Some(self.call("/registry/instances".into(), ANSWER_WAIT)),
+                    Some(Ask::Fetch) => fetch = Some(self.whole()),
+                    Some(Ask::Move(address)) if address == self.address => {}
+                    Some(Ask::Move(address)) => {
+                        log::info!("discovery moves from {} to {address}", self.address);
+                        (self.address, self.version) = (address, None);
+                        // What the old one still says is no news; its list stands until the new one's is here.
+                        (watch, fetch) = (Some(self.watch()), None);
+                    }
                     None => return,
                 },
                 answer = under_way(&mut watch) => {
@@ -174,11 +185,17 @@
         }
     }
 
+    /// The next call of a watch; the first at an address takes the whole list.
     fn watch(&self) -> Call {
-        let path = format!("/registry/instances?index={}&wait={}", self.version, WATCH_WAIT.as_millis());
+        let Some(version) = self.version else { return self.whole() };
+        let path = format!("/registry/instances?index={version}&wait={}", WATCH_WAIT.as_millis());
         self.call(path, WATCH_WAIT + ANSWER_WAIT)
     }
 
+    fn whole(&self) -> Call {
+        self.call("/registry/instances".into(), ANSWER_WAIT)
+    }
+
     fn call(&self, path: String, wait: Duration) -> Call {
         let (client, uri) = (self.client.clone(), format!("http://{}{path}", self.address));
         let call = async move {
@@ -200,7 +217,9 @@
     fn news(&mut self, answer: Result<Listing, String>) -> bool {
         match answer {
             Ok(listing) if listing.reset => self.tell(ListKind::Full, listing),
-            Ok(listing) if listing.generation >= self.version => self.tell(ListKind::Changes, listing),
+            Ok(listing) if self.version.is_none_or(|version| listing.generation >= version) => {
+                self.tell(ListKind::Changes, listing);
+            }
             // A list fetched meanwhile is newer than these changes.
             Ok(listing) => log::debug!("changes up to {} are known already", listing.generation),
             Err(reason) => {
@@ -214,7 +233,7 @@
 
     fn tell(&mut self, kind: ListKind, listing: Listing) {
         log::debug!("{kind:?} list {}: {} entries", listing.generation, listing.instances.len());
-        self.version = listing.generation;
+        self.version = Some(listing.generation);
         let members: Vec<Member> = listing.instances.iter().map(|i| i.member(&self.names)).collect();
         let entries = listing.instances.iter().zip(&members);
         let entries = entries.map(|(i, m)| (m.worker, i.instance_id.as_str(), i.host_port.as_str(), m.state));
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -50,6 +50,12 @@
         .await;
     }
 
+    /// A discovery call, by its target.
+    async fn asked(&mut self) -> String {
+        let (head, _) = self.read().await.expect("a call");
+        head.split(' ').nth(1).expect("a target").to_string()
+    }
+
     async fn list(&mut self, generation: u32, instances: Value) {
         let body = json!({"generation": generation, "reset": true, "instances": instances}).to_string();
         self.write(&format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{body}", body.len())).await;
@@ -85,19 +91,21 @@
                       "tip_multiple": 2.5, "fall": 2_000_000}}})
 }
 
-fn daemon(config: &str) -> Command {
+/// The daemon about to start, and the path of its configuration.
+fn daemon(config: &str) -> (Command, String) {
     static FILES: AtomicU32 = AtomicU32::new(0);
     let number = FILES.fetch_add(1, Ordering::Relaxed);
     let path = format!("{}/{}-{number}.json", env!("CARGO_TARGET_TMPDIR"), std::process::id());
     std::fs::write(&path, config).expect("written");
     let mut command = Command::new(env!("CARGO_BIN_EXE_vetchbridge"));
-    command.env_clear().env("BALANCER_CONFIG", path).stderr(Stdio::piped());
-    command
+    command.env_clear().env("BALANCER_CONFIG", &path).stderr(Stdio::piped());
+    (command, path)
 }
 
 /// The daemon among scripted peers; killed when dropped.
 struct Stage {
     daemon: Child,
+    config: String,
     address: SocketAddr,
     discovery: TcpListener,
     peers: Vec<TcpListener>,
@@ -127,15 +135,16 @@
         let scripted = listeners.iter().map(|listener| listener.local_addr().expect("bound"));
         let addresses = scripted.chain(others.iter().copied()).enumerate();
         let known: Vec<Value> = addresses.map(|(n, address)| instance(n, address, "up")).collect();
-        let mut daemon = daemon(&config(discovery.local_addr().unwrap(), known.into()).to_string())
-            .spawn()
-            .expect("the daemon starts");
+        let (mut daemon, config) = daemon(&config(discovery.local_addr().unwrap(), known.into()).to_string());
+        // As on the platform: the variable is as old as the process, and must not outlive a reload.
+        let told = discovery.local_addr().unwrap().to_string();
+        let mut daemon = daemon.env("BALANCER_DISCOVERY", told).spawn().expect("the daemon starts");
         let mut log = BufReader::new(daemon.stderr.take().expect("piped")).lines();
         let line = log.find(|line| line.as_ref().is_ok_and(|line| line.contains("listens on")));
         let line = line.expect("a first line").expect("text");
         std::thread::spawn(move || log.for_each(drop));
         let address = line.rsplit(' ').next().expect("an address").parse().expect("an address");
-        Stage { daemon, address, discovery, peers: listeners, next_id: 0xab00 }
+        Stage { daemon, config, address, discovery, peers: listeners, next_id: 0xab00 }
     }
 
     /// The next connection that any peer gets.
@@ -165,6 +174,11 @@
         assert_eq!(status(&wire.read().await), "200");
     }
 
+    fn signal(&self, signal: &str) {
+        let pid = self.daemon.id().to_string();
+        assert!(Command::new("kill").args([signal, &pid]).status().expect("kill runs").success());
+    }
+
     /// Lets whichever peer is asked next serve the job that is waiting.
     async fn serve_next(&self, id: &str) {
         let (number, mut peer) = self.peer().await;
@@ -343,6 +357,45 @@
     }
 }
 
+/// SIGHUP moves the watch to the discovery that the file now names, whatever the environment says. Versions of
+/// two discoveries can't be compared: the new one's whole list comes first, a lower version included. A file
+/// that can't be used changes nothing, and a job in flight notices none of it.
+#[rstest]
+#[timeout(HANG)]
+#[tokio::test]
+async fn sighup_moves_to_the_new_discovery() {
+    let mut stage = Stage::set(1).await;
+    let peer_address = stage.peers[0].local_addr().unwrap();
+    let mut watch = Wire(stage.discovery.accept().await.expect("the watch").0);
+    assert!(watch.asked().await.contains("index=1&"));
+    watch.list(70, json!([instance(0, peer_address, "up")])).await;
+    assert!(watch.asked().await.contains("index=70&"));
+    let (mut client, id) = stage.job("safe", "k").await;
+    let (number, mut peer) = stage.peer().await;
+    peer.read().await.expect("the job");
+    peer.write(ACCEPTED).await;
+
+    std::fs::write(&stage.config, "{").expect("written");
+    stage.signal("-HUP");
+    for version in [3, 2] {
+        let moved = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = moved.local_addr().unwrap();
+        let file = config(address, json!([])).to_string();
+        std::fs::write(&stage.config, file).expect("written");
+        stage.signal("-HUP");
+        let mut watch = Wire(moved.accept().await.expect("the new watch").0);
+        assert_eq!(watch.asked().await, "/registry/instances");
+        watch.list(version, json!([instance(0, peer_address, "up")])).await;
+        assert!(watch.asked().await.contains(&format!("index={version}&")));
+    }
+
+    stage.signal("-TERM");
+    stage.signal("-HUP");
+    stage.call_back(&id, number, "done").await;
+    assert_eq!(status(&client.read().await), "200");
+    assert!(stage.daemon.wait().expect("it ends").success());
+}
+
 /// At a planned restart nothing that was taken is lost: not ready, still taking, hanging up, then gone.
 #[rstest]
 #[timeout(HANG)]
@@ -353,8 +406,7 @@
     let (number, mut peer) = stage.peer().await;
     peer.read().await.expect("the job");
     peer.write(ACCEPTED).await;
-    let kill = Command::new("kill").arg(stage.daemon.id().to_string()).status().expect("kill runs");
-    assert!(kill.success());
+    stage.signal("-TERM");
     // Readiness is asked until the signal has arrived.
     let closed = loop {
         let mut front = Wire::dial(stage.address).await;
@@ -432,7 +484,7 @@
         Some(old) => *old = value,
         None => config[&path[1..]] = value,
     }
-    let mut daemon = daemon(&config.to_string()).spawn().expect("the daemon starts");
+    let mut daemon = daemon(&config.to_string()).0.spawn().expect("the daemon starts");
     assert!(!daemon.wait().expect("it ends").success());
     let mut log = String::new();
     daemon.stderr.take().expect("piped").read_to_string(&mut log).expect("text");
