Give client connections a budget, time limits and a watch on their framing

Read in hyper's source: a Content-Length beside a Transfer-Encoding is removed whatever their order, so nothing in the handler could see it; heads had no time limit at all. Checked by stories that fail without this: silent and half-sent clients, doubtful headers and numbers, a missing Idempotency-Key, 64 descriptors. Ruled out: the peers (24 connections, no refusals) and the processor (0.12 s in the worst second).

--- a/src/main.rs
+++ b/src/main.rs
@@ -111,7 +111,7 @@
     let discovery =
         Discovery::start(config.discovery, config.names, config.known, engine.clone(), upstream.clone());
     tokio::spawn(discovery.run(asked));
-    let front = Front::new(engine, upstream, class_names, config.classes, config.sockets);
+    let front = Front::new(engine, upstream, class_names, config.classes, config.sockets, config.memory);
     tokio::spawn(front.clone().serve(listener));
     front
 }
--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -21,6 +21,8 @@
     pub discovery: SocketAddr,
     /// Descriptors that the process may hold.
     pub sockets: usize,
+    /// Bytes that it may take.
+    pub memory: usize,
     /// Where siblings' datagrams arrive and where each sibling is reached; absent where they may not talk.
     pub siblings: Option<Siblings>,
     /// The list of peers as this scheduler last had it.
@@ -67,6 +69,7 @@
 }
 
 const DEFAULT_SOCKETS: usize = 1024;
+const DEFAULT_MEMORY_MB: usize = 192;
 const DEFAULT_CONN_IDLE: Duration = Duration::from_secs(60);
 
 fn env(key: &str) -> Option<String> {
@@ -121,10 +124,12 @@
         Some(limits) => optional(limits, "conn_idle", "settings.limits.conn_idle")?,
         None => None,
     };
-    let sockets = match root.get("limits") {
-        Some(limits) => optional(limits, "sockets", "limits.sockets")?,
-        None => None,
+    let limit = |key: &str, path: &str| match root.get("limits") {
+        Some(limits) => optional::<usize>(limits, key, path),
+        None => Ok(None),
     };
+    let sockets = limit("sockets", "limits.sockets")?;
+    let memory_mb = limit("memory_mb", "limits.memory_mb")?;
     let seed = match u64::from_str_radix(&required::<String>(&root, "seed")?, 16) {
         Ok(seed) => seed,
         Err(error) => return bad("seed", error),
@@ -139,6 +144,7 @@
         listen: required(&root, "listen")?,
         discovery: required(&root, "discovery")?,
         sockets: sockets.unwrap_or(DEFAULT_SOCKETS),
+        memory: memory_mb.unwrap_or(DEFAULT_MEMORY_MB).saturating_mul(1 << 20),
         siblings: match optional(&root, "peer_listen", "peer_listen")? {
             Some(listen) if limits.may_message_peers => Some(Siblings {
                 listen,
--- a/src/node/front.rs
+++ b/src/node/front.rs
@@ -1,35 +1,44 @@
-//! The front: the listener, the client connections, and the HTTP of clients and callbacks.
+//! The front: the listener and the HTTP of clients and callbacks.
 //!
-//! Owns every accepted connection and the count of them. It turns HTTP into a [`Job`] and an [`Answer`] into
-//! HTTP, and must never hold a request back, answer for the module, or close a connection that owes an answer.
+//! Turns HTTP into a [`Job`] and an [`Answer`] into HTTP, rejects what is malformed before the module hears of
+//! it, and bounds the memory that bodies take. It must never hold a request back, answer for the module, or
+//! pass on a request whose framing or meaning is in doubt.
 
+use super::connections::{ClientConnection, ClientConnections, Place, Watched, HEAD_LIMIT};
 use super::engine::Engine;
 use super::request::{submit, Answer, Job};
 use super::upstream::{request_id, Callback, Parcel, UpstreamGroup};
-use axum::body::{to_bytes, Body};
-use axum::extract::{Request as HttpRequest, State};
-use axum::http::header::{CONNECTION, RETRY_AFTER};
+use axum::body::{to_bytes, Body, HttpBody};
+use axum::extract::{Extension, Request as HttpRequest, State};
+use axum::http::header::{CONNECTION, HOST, RETRY_AFTER};
+use axum::http::request::Parts;
 use axum::http::{HeaderMap, HeaderValue, Method, StatusCode};
 use axum::response::{IntoResponse, Response};
 use axum::routing::{get, post};
-use axum::{middleware, Router};
+use axum::Router;
 use bytes::Bytes;
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
+use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use hyper_util::service::TowerToHyperService;
-use silverproxy::interface::{Class, ClassId, Micros, Request, TenantId};
-use std::sync::atomic::{AtomicUsize, Ordering};
+use silverproxy::interface::{Class, ClassId, Effect, Micros, Request, TenantId};
+use std::convert::Infallible;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
+use tokio::sync::{watch, OwnedSemaphorePermit, Semaphore};
+use tower_service::Service;
 
 /// The longest body of a request or callback.
 const BODY_LIMIT: usize = 64 * 1024;
-/// How long a body may take to arrive.
-const BODY_WAIT: Duration = Duration::from_secs(10);
+/// A body that is late is rejected this long before its connection would be ended without a word.
+const BODY_MARGIN: Duration = Duration::from_millis(200);
+/// Memory for bodies is handed out in pieces of this size.
+const PIECE: usize = 1024;
 /// Pause after a failed accept; descriptors come back as answers go out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// How often connections are looked through for those that have used up their time.
+const SWEEP: Duration = Duration::from_millis(100);
 
 /// How far the scheduler is on its way out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd)]
@@ -49,47 +58,34 @@
     class_names: Vec<String>,
     classes: Vec<Class>,
     phase: watch::Sender<Phase>,
-    connections: AtomicUsize,
-    /// Beyond this many connections each answer closes its own.
-    crowded: usize,
-    /// Calls being read, served or answered.
-    calls: AtomicUsize,
-}
-
-/// One of the things that the front counts; given back when dropped.
-struct Counted<'a>(&'a AtomicUsize);
-
-impl<'a> Counted<'a> {
-    fn new(count: &'a AtomicUsize) -> Counted<'a> {
-        count.fetch_add(1, Ordering::Relaxed);
-        Counted(count)
-    }
-}
-
-impl Drop for Counted<'_> {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
-    }
+    connections: ClientConnections,
+    /// Memory for the bodies of jobs, from their arrival to their end, and of callbacks; apart, so that jobs
+    /// can't keep callbacks out.
+    job_room: Arc<Semaphore>,
+    callback_room: Arc<Semaphore>,
 }
 
 impl Front {
-    /// A front that takes work; `sockets` is the limit on descriptors.
+    /// A front that takes work; `sockets` is the limit on descriptors, `memory` that on bytes.
     pub fn new(
         engine: Arc<Engine>,
         upstream: Arc<UpstreamGroup>,
         class_names: Vec<String>,
         classes: Vec<Class>,
         sockets: usize,
+        memory: usize,
     ) -> Arc<Front> {
+        let room = || Arc::new(Semaphore::new((memory / 8).clamp(BODY_LIMIT, usize::MAX >> 4) / PIECE));
         Arc::new(Front {
             engine,
             upstream,
             class_names,
             classes,
             phase: watch::Sender::new(Phase::Open),
-            connections: AtomicUsize::new(0),
-            crowded: sockets / 2,
-            calls: AtomicUsize::new(0),
+            // The other half is for the peers, discovery and the program itself.
+            connections: ClientConnections::new(sockets / 2),
+            job_room: room(),
+            callback_room: room(),
         })
     }
 
@@ -98,9 +94,9 @@
         self.phase.send_replace(phase);
     }
 
-    /// Whether any call is still owed its answer.
+    /// Whether any call is still owed its answer. One that has not fully arrived is not.
     pub fn owes(&self) -> bool {
-        self.calls.load(Ordering::Relaxed) > 0 || self.engine.requests() > 0
+        self.connections.owe() || self.engine.requests() > 0
     }
 
     /// Accepts connections until the program ends.
@@ -109,11 +105,22 @@
             .route("/health/ready", get(ready))
             .route("/callback", post(callback))
             .fallback(take)
-            .layer(middleware::map_response_with_state(self.clone(), hang_up))
             .with_state(self.clone());
+        let mut sweep = tokio::time::interval(SWEEP);
         loop {
-            match listener.accept().await {
-                Ok((stream, _)) => drop(tokio::spawn(self.clone().client_connection(stream, router.clone()))),
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                _ = sweep.tick() => {
+                    self.connections.sweep();
+                    continue;
+                }
+            };
+            match accepted {
+                Ok((stream, _)) => {
+                    tokio::spawn(self.clone().client_connection(stream, router.clone()));
+                    // In a burst, each is read before the next one may have to take its place.
+                    tokio::task::yield_now().await;
+                }
                 Err(error) => {
                     log::warn!("accept: {error}");
                     tokio::time::sleep(ACCEPT_PAUSE).await;
@@ -123,33 +130,51 @@
     }
 
     async fn client_connection(self: Arc<Self>, stream: TcpStream, router: Router) {
-        let _counted = Counted::new(&self.connections);
+        let Some(Place { connection, .. }) = &self.connections.place() else {
+            return log::debug!("no room for another client connection");
+        };
         if let Err(error) = stream.set_nodelay(true) {
             log::debug!("nodelay: {error}");
         }
-        let service = TowerToHyperService::new(router);
-        let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-        tokio::pin!(connection);
+        let service = service_fn(|request| self.respond(request, connection, router.clone()));
+        let io = TokioIo::new(Watched { stream, connection: connection.clone() });
+        let serving = http1::Builder::new().max_buf_size(HEAD_LIMIT).serve_connection(io, service);
+        tokio::pin!(serving);
         let mut phase = self.phase.subscribe();
-        let served = tokio::select! {
-            served = connection.as_mut() => served,
-            () = async { drop(phase.wait_for(|phase| *phase == Phase::Closing).await) } => {
-                connection.as_mut().graceful_shutdown();
-                connection.await
+        let mut closing = false;
+        let served = loop {
+            tokio::select! {
+                served = serving.as_mut() => break served,
+                () = connection.ended() => return log::debug!("client connection ended: spare or too slow"),
+                () = async { drop(phase.wait_for(|phase| *phase == Phase::Closing).await) }, if !closing => {
+                    serving.as_mut().graceful_shutdown();
+                    closing = true;
+                }
             }
         };
         if let Err(error) = served {
             log::debug!("client connection: {error}");
         }
     }
-}
 
-/// While the scheduler drains or is crowded, each answer is its connection's last.
-async fn hang_up(State(front): State<Arc<Front>>, mut response: Response) -> Response {
-    if *front.phase.borrow() != Phase::Open || front.connections.load(Ordering::Relaxed) > front.crowded {
-        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    async fn respond(
+        &self,
+        mut request: hyper::Request<Incoming>,
+        connection: &Arc<ClientConnection>,
+        mut router: Router,
+    ) -> Result<Response, Infallible> {
+        let mut response = if connection.ambiguous() {
+            (StatusCode::BAD_REQUEST, "content-length beside transfer-encoding\n").into_response()
+        } else {
+            request.extensions_mut().insert(connection.clone());
+            router.call(request.map(Body::new)).await?
+        };
+        connection.answered();
+        if *self.phase.borrow() != Phase::Open || connection.last() {
+            response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        Ok(response)
     }
-    response
 }
 
 async fn ready(State(front): State<Arc<Front>>) -> StatusCode {
@@ -159,10 +184,13 @@
     }
 }
 
-async fn callback(State(front): State<Arc<Front>>, request: HttpRequest) -> Response {
-    let _counted = Counted::new(&front.calls);
-    let body = match read(request.into_body()).await {
-        Ok(body) => body,
+async fn callback(
+    State(front): State<Arc<Front>>,
+    Extension(connection): Extension<Arc<ClientConnection>>,
+    request: HttpRequest,
+) -> Response {
+    let (body, _room) = match read(request.into_body(), &connection, &front.callback_room).await {
+        Ok(read) => read,
         Err(refused) => return refused.into_response(),
     };
     match serde_json::from_slice::<Callback>(&body) {
@@ -177,18 +205,20 @@
     }
 }
 
-async fn take(State(front): State<Arc<Front>>, request: HttpRequest) -> Response {
-    let _counted = Counted::new(&front.calls);
+async fn take(
+    State(front): State<Arc<Front>>,
+    Extension(connection): Extension<Arc<ClientConnection>>,
+    request: HttpRequest,
+) -> Response {
     if request.method() != Method::POST {
         return (StatusCode::METHOD_NOT_ALLOWED, "jobs arrive by POST\n").into_response();
     }
     let (parts, body) = request.into_parts();
-    let body = match read(body).await {
-        Ok(body) => body,
+    let (body, room) = match read(body, &connection, &front.job_room).await {
+        Ok(read) => read,
         Err(refused) => return refused.into_response(),
     };
-    let target = parts.uri.path_and_query().map_or("/", |target| target.as_str());
-    let job = match front.job(target, parts.uri.path(), &parts.headers, body) {
+    let job = match front.job(&parts, body, room) {
         Ok(job) => job,
         Err(reason) => return (StatusCode::BAD_REQUEST, format!("{reason}\n")).into_response(),
     };
@@ -197,11 +227,30 @@
     render(answer.unwrap_or(Answer::Failed))
 }
 
-async fn read(body: Body) -> Result<Bytes, (StatusCode, &'static str)> {
-    match tokio::time::timeout(BODY_WAIT, to_bytes(body, BODY_LIMIT)).await {
-        Ok(Ok(body)) => Ok(body),
-        Ok(Err(_)) => Err((StatusCode::PAYLOAD_TOO_LARGE, "a body holds no more than 64 KiB\n")),
-        Err(_) => Err((StatusCode::REQUEST_TIMEOUT, "the body did not arrive\n")),
+type Refused = (StatusCode, [(hyper::header::HeaderName, &'static str); 1], &'static str);
+
+/// Reads a body whole; from then on its answer is owed. What can't be read ends its connection.
+async fn read(
+    body: Body,
+    connection: &ClientConnection,
+    room: &Arc<Semaphore>,
+) -> Result<(Bytes, OwnedSemaphorePermit), Refused> {
+    let refused = |status, reason| Err((status, [(CONNECTION, "close")], reason));
+    let expected = body.size_hint();
+    if expected.lower() > BODY_LIMIT as u64 {
+        return refused(StatusCode::PAYLOAD_TOO_LARGE, "a body holds no more than 64 KiB\n");
+    }
+    let pieces = expected.exact().map_or(BODY_LIMIT, |bytes| bytes as usize).div_ceil(PIECE);
+    let Ok(room) = room.clone().try_acquire_many_owned(pieces as u32) else {
+        return refused(StatusCode::SERVICE_UNAVAILABLE, "no memory for the body\n");
+    };
+    match tokio::time::timeout_at(connection.due() - BODY_MARGIN, to_bytes(body, BODY_LIMIT)).await {
+        Ok(Ok(body)) => {
+            connection.owe();
+            Ok((body, room))
+        }
+        Ok(Err(_)) => refused(StatusCode::PAYLOAD_TOO_LARGE, "a body holds no more than 64 KiB\n"),
+        Err(_) => refused(StatusCode::REQUEST_TIMEOUT, "the body did not arrive\n"),
     }
 }
 
@@ -220,58 +269,76 @@
 
 impl Front {
     /// Reads a job; its time counts from now, when its last byte is here.
-    fn job(&self, target: &str, path: &str, headers: &HeaderMap, body: Bytes) -> Result<Job, String> {
-        let text = |name: &str| match headers.get(name).map(HeaderValue::to_str) {
-            None => Ok(None),
-            Some(Ok(value)) => Ok(Some(value)),
-            Some(Err(_)) => Err(format!("{name}: not plain text")),
-        };
+    fn job(&self, parts: &Parts, body: Bytes, room: OwnedSemaphorePermit) -> Result<Job, String> {
+        let text = |name| only(&parts.headers, name);
         let id_text = text("x-trace-id")?.ok_or("x-trace-id: missing")?;
         let id = request_id(id_text).ok_or("x-trace-id: not 16 hex digits")?;
-        let path = path.trim_start_matches('/');
-        let (first, rest) = path.split_once('/').unwrap_or((path, ""));
-        let class_name = text("x-qos")?.unwrap_or(first);
-        let class = self.class_names.iter().position(|name| name == class_name);
-        let class = class.ok_or_else(|| format!("x-qos: no class {class_name:?}"))?;
+        text(HOST.as_str())?;
+        let target = parts.uri.path_and_query().filter(|target| {
+            target.as_str().starts_with('/') && target.as_str().bytes().all(|byte| byte.is_ascii_graphic())
+        });
+        let target = target.ok_or("not a path of plain characters")?;
+        let path = target.path().trim_start_matches('/');
+        let (class_name, rest) = path.split_once('/').unwrap_or((path, ""));
+        if text("x-qos")?.is_some_and(|name| name != class_name) {
+            return Err("x-qos: not the class in the path".to_string());
+        }
+        let number = self.class_names.iter().position(|name| name == class_name);
+        let number = number.ok_or_else(|| format!("no class {class_name:?}"))?;
+        let class = self.classes.get(number).ok_or("no such class")?;
+        let idempotency_key = text("idempotency-key")?.map(str::to_string);
+        if idempotency_key.is_none() && matches!(class.effect, Effect::Keyed { .. }) {
+            return Err("idempotency-key: missing, its class needs one".to_string());
+        }
         let key = rest.rsplit('/').next().filter(|key| !key.is_empty());
         let wait = match text("x-expires-in")? {
             Some(value) => parse_span(value).ok_or("x-expires-in: not a number with unit m or u")?,
-            None => self.classes.get(class).map_or(0, |class| class.deadline),
+            None => class.deadline,
         };
         let hint = match text("x-size-hint")? {
-            Some(value) => {
-                Some(value.parse::<f64>().ok().filter(|v| *v >= 0.0).ok_or("x-size-hint: unreadable")?)
-            }
+            Some(value) => Some(parse_number(value).ok_or("x-size-hint: unreadable")?),
             None => None,
         };
         let props = text("x-props")?.unwrap_or("");
         let slots = props.split(',').find_map(|prop| prop.trim().strip_prefix("slots=")?.parse().ok());
         let request = Request {
             id,
-            class: ClassId(class as u32),
+            class: ClassId(number as u32),
             tenant: TenantId(0),
             key: key.map(str::to_string),
-            due: self.engine.clock.now().saturating_add(wait),
+            // No client of a class waits longer than this, whatever it says.
+            due: self.engine.clock.now().saturating_add(wait.min(class.deadline)),
             expected_work: hint.map(|hint| hint as Micros),
             slots: slots.unwrap_or(1.0),
             retry: text("x-second-try")? == Some("1"),
         };
-        let parcel = Parcel {
-            id: id_text.to_string(),
-            target: target.to_string(),
-            idempotency_key: text("idempotency-key")?.map(str::to_string),
-            body,
-        };
-        Ok(Job { request, parcel })
+        let parcel = Parcel { id: id_text.to_string(), target: target.clone(), idempotency_key, body };
+        Ok(Job { request, parcel, room: Some(room) })
     }
 }
 
+/// A header's only value. Two of them are two clients' words in one request, and neither can be believed.
+fn only<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, String> {
+    let mut values = headers.get_all(name).iter();
+    match (values.next().map(HeaderValue::to_str), values.next()) {
+        (None, _) => Ok(None),
+        (Some(Ok(value)), None) => Ok(Some(value)),
+        (Some(Err(_)), None) => Err(format!("{name}: not plain text")),
+        (Some(_), Some(_)) => Err(format!("{name}: given more than once")),
+    }
+}
+
+/// Reads digits with or without a fraction; signs, exponents and words are none.
+fn parse_number(text: &str) -> Option<f64> {
+    let plain = text.bytes().all(|byte| byte.is_ascii_digit() || byte == b'.');
+    text.parse::<f64>().ok().filter(|number| plain && number.is_finite())
+}
+
 /// Reads a span such as `480m` (milliseconds) or `480000u` (microseconds).
 fn parse_span(text: &str) -> Option<Micros> {
     let (number, scale) = match text.strip_suffix('m') {
         Some(number) => (number, 1000.0),
         None => (text.strip_suffix('u')?, 1.0),
     };
-    let number: f64 = number.parse().ok()?;
-    (number.is_finite() && number >= 0.0).then_some((number * scale) as Micros)
+    Some((parse_number(number)? * scale) as Micros)
 }
--- a/src/node/request.rs
+++ b/src/node/request.rs
@@ -11,7 +11,7 @@
 use silverproxy::interface::*;
 use std::sync::Arc;
 use tokio::sync::mpsc::UnboundedReceiver;
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, OwnedSemaphorePermit};
 
 /// A request as it was taken from a client, in no protocol's terms.
 pub struct Job {
@@ -19,6 +19,8 @@
     pub request: Request,
     /// What a peer is given, unopened.
     pub parcel: Parcel,
+    /// Its share of the memory for bodies, given back with the job.
+    pub room: Option<OwnedSemaphorePermit>,
 }
 
 /// The one final answer.
@@ -83,7 +85,7 @@
 
 /// One request's life.
 async fn run(engine: Arc<Engine>, upstream: Arc<UpstreamGroup>, job: Job, reply: oneshot::Sender<Answer>) {
-    let Job { request, parcel } = job;
+    let Job { request, parcel, room: _room } = job;
     let (id, due) = (request.id, request.due);
 
     // Taken: the module hears of the request and owes one final answer from here on.
--- a/src/node/upstream.rs
+++ b/src/node/upstream.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::header::{CONTENT_LENGTH, HOST};
+use hyper::http::uri::{Authority, PathAndQuery, Scheme};
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper::{Method, Request, StatusCode, Uri};
 use hyper_util::client::legacy::connect::{capture_connection, Connected, Connection, HttpConnector};
@@ -39,7 +40,7 @@
     /// The request's id as the client wrote it.
     pub id: String,
     /// Path and query.
-    pub target: String,
+    pub target: PathAndQuery,
     /// The key under which peers drop a repeat.
     pub idempotency_key: Option<String>,
     /// The body.
@@ -112,7 +113,7 @@
 /// One peer and its connections.
 struct Peer {
     name: String,
-    address: String,
+    address: Authority,
     client: Mutex<PeerClient>,
     /// False once discovery has told that it drains or is gone.
     taking: watch::Sender<bool>,
@@ -164,16 +165,24 @@
                 missing.push(worker);
                 continue;
             }
-            let moved = peers.get(&worker).is_none_or(|peer| peer.address != address);
-            if moved {
+            let known = peers.get(&worker);
+            let address = match address.parse::<Authority>() {
+                Ok(address) => Some(address).filter(|new| known.is_none_or(|peer| peer.address != *new)),
+                Err(error) => {
+                    log::warn!("{name}: {address:?} is no address: {error}");
+                    None
+                }
+            };
+            if let Some(address) = address {
                 let (taking, client) = (watch::Sender::new(true), Mutex::new(self.client()));
-                let (name, address) = (name.to_string(), address.to_string());
-                let peer = Arc::new(Peer { name, address, client, taking });
+                let peer = Arc::new(Peer { name: name.to_string(), address, client, taking });
                 if let Some(old) = peers.insert(worker, peer) {
                     old.taking.send_replace(false);
                 }
             }
-            peers[&worker].taking.send_replace(state == MemberState::Ready);
+            if let Some(peer) = peers.get(&worker) {
+                peer.taking.send_replace(state == MemberState::Ready);
+            }
         }
         for worker in missing {
             if let Some(peer) = peers.remove(&worker) {
@@ -321,18 +330,20 @@
 }
 
 impl Peer {
-    fn exchange(&self, method: Method, target: &str, job: Option<(&Parcel, Duration)>) -> Exchange {
+    fn exchange(&self, method: Method, target: &PathAndQuery, job: Option<(&Parcel, Duration)>) -> Exchange {
         let mut request =
             Request::new(Full::new(job.map(|(parcel, _)| parcel.body.clone()).unwrap_or_default()));
         *request.method_mut() = method;
-        *request.uri_mut() = format!("http://{}{target}", self.address).parse().unwrap_or_default();
+        let uri = Uri::builder().scheme(Scheme::HTTP).authority(self.address.clone());
+        // With all three parts given and checked, building can't fail.
+        *request.uri_mut() = uri.path_and_query(target.clone()).build().unwrap_or_default();
         let headers = request.headers_mut();
         let mut header = |name: &'static str, value: &str| {
             if let Ok(value) = value.parse() {
                 headers.insert(name, value);
             }
         };
-        header(HOST.as_str(), &self.address);
+        header(HOST.as_str(), self.address.as_str());
         if let Some((parcel, wait)) = job {
             header(CONTENT_LENGTH.as_str(), &parcel.body.len().to_string());
             header("x-trace-id", &parcel.id);
@@ -375,7 +386,9 @@
     /// Gives an attempt up: after the 202 by a call; before it, dropping the exchange closes the connection.
     fn give_up(&self, accepted: bool, id: &str) {
         if accepted {
-            let call = self.exchange(Method::DELETE, &format!("/jobs/{id}"), None);
+            // An id is 16 hex digits, so this is a path.
+            let Ok(target) = format!("/jobs/{id}").parse() else { return };
+            let call = self.exchange(Method::DELETE, &target, None);
             tokio::spawn(tokio::time::timeout(GIVE_UP_WAIT, call.answer));
         }
     }
@@ -495,7 +508,7 @@
         let worker = worker_id("s-1");
         let tell = |state| group.apply(ListKind::Changes, [(worker, "s-1", &*address, state)].into_iter());
         tell(MemberState::Ready);
-        let (id, target) = ("00000000000000ab".to_string(), "/safe/k".to_string());
+        let (id, target) = ("00000000000000ab".to_string(), PathAndQuery::from_static("/safe/k"));
         let parcel = Parcel { id, target, idempotency_key: None, body: Bytes::from_static(b"work") };
         let (_cancel, cancelled) = oneshot::channel();
         let wait = Duration::from_secs(60);
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -15,6 +15,8 @@
 
 /// A story that stands still fails; none of them measures time.
 const HANG: Duration = Duration::from_secs(60);
+/// The limit on descriptors that the daemon is held to.
+const SOCKETS: u32 = 64;
 const ACCEPTED: &str = "HTTP/1.1 202 Accepted\r\ncontent-length: 0\r\n\r\n";
 
 /// One end of a connection, spoken by hand so that a script can break off anywhere.
@@ -75,16 +77,16 @@
            "cell": 0, "lifecycle": lifecycle, "weight": 1.0, "startedAtMs": 0})
 }
 
-/// A configuration with two attempts a request and one class of each effect that matters here.
+/// A configuration with two attempts a request and one class of each effect.
 fn config(discovery: SocketAddr, instances: Value) -> Value {
     let class = |name: &str, repeat: &str| {
         json!({"name": name, "repeat": repeat, "group": "all", "window": 5_000_000, "aim": 500_000,
                "deadline": 60_000_000, "importance": 1.0})
     };
     json!({"name": "n0", "listen": "127.0.0.1:0", "discovery": discovery.to_string(), "seed": "8c1f30d27a5be964",
-        "known": {"generation": 1, "reset": true, "instances": instances},
+        "limits": {"sockets": SOCKETS}, "known": {"generation": 1, "reset": true, "instances": instances},
         "settings": {"me": 0, "balancers": 1, "areas": ["a"], "kinds": ["m"], "zone": 0, "tick": 4000,
-            "discovery": "ask", "services": [class("safe", "safe"), class("unsafe", "unsafe")],
+            "discovery": "ask", "services": [class("safe", "safe"), class("unsafe", "unsafe"), class("keyed", "keyed")],
             "limits": {"max_attempts": 2, "may_cancel": true, "dial_timeout": 10_000_000, "retry_after": true,
                        "max_retry_after": 2_000_000},
             "rules": {"stop_sending_within": 500_000, "start_capacity": 0.2, "cold": 24_000_000,
@@ -97,7 +99,8 @@
     let number = FILES.fetch_add(1, Ordering::Relaxed);
     let path = format!("{}/{}-{number}.json", env!("CARGO_TARGET_TMPDIR"), std::process::id());
     std::fs::write(&path, config).expect("written");
-    let mut command = Command::new(env!("CARGO_BIN_EXE_vetchbridge"));
+    let mut command = Command::new("sh");
+    command.args(["-c", &format!("ulimit -n {SOCKETS}; exec {}", env!("CARGO_BIN_EXE_vetchbridge"))]);
     command.env_clear().env("BALANCER_CONFIG", &path).stderr(Stdio::piped());
     (command, path)
 }
@@ -406,6 +409,9 @@
     let (number, mut peer) = stage.peer().await;
     peer.read().await.expect("the job");
     peer.write(ACCEPTED).await;
+    // Never whole, so never taken: it must not hold up the end, not even until its time is up.
+    let mut half = Wire::dial(stage.address).await;
+    half.write("POST /safe/k HTTP/1.1\r\nhost: x\r\ncontent-length: 9\r\n\r\nwork").await;
     stage.signal("-TERM");
     // Readiness is asked until the signal has arrived.
     let closed = loop {
@@ -426,6 +432,7 @@
         assert_eq!(status(&answer), "200");
         assert_eq!(header(&answer.unwrap().0, "connection"), Some("close"));
     }
+    assert!(half.read().await.is_none());
     assert!(stage.daemon.wait().expect("it ends").success());
 }
 
@@ -444,7 +451,18 @@
         ("/odd/k", id.to_string(), "", "400"),
         ("/safe/k", format!("{id}X-Expires-In: soon\r\n"), "", "400"),
         ("/safe/k", format!("{id}X-Expires-In: -5m\r\n"), "", "400"),
+        ("/safe/k", format!("{id}X-Expires-In: 1e9m\r\n"), "", "400"),
         ("/safe/k", format!("{id}X-Size-Hint: big\r\n"), "", "400"),
+        ("/safe/k", format!("{id}X-Size-Hint: inf\r\n"), "", "400"),
+        ("/safe/k", format!("{id}X-Qos: unsafe\r\n"), "", "400"),
+        ("/safe/k", format!("{id}{id}"), "", "400"),
+        ("/safe/k", format!("{id}X-Qos: safe\r\nX-Qos: safe\r\n"), "", "400"),
+        ("/safe/k\u{e9}", id.to_string(), "", "400"),
+        ("*", id.to_string(), "", "400"),
+        ("/keyed/k", id.to_string(), "", "400"),
+        ("/safe/k", format!("{id}Content-Length: -1\r\n"), "", "400"),
+        ("/safe/k", format!("{id}Content-Length: 62914560\r\n"), "", "400"),
+        ("/safe/k", format!("{id}Transfer-Encoding: chunked\r\n"), "0\r\n\r\nGET / HTTP/1.1\r\n\r\n", "400"),
         ("/safe/k", format!("{id}X-Qos: s\u{e9}\r\n"), "", "400"),
         ("/safe/k", id.to_string(), too_long.as_str(), "413"),
         ("/callback", String::new(), "{\"id\":", "400"),
@@ -455,6 +473,10 @@
         client.post(target, &headers, body).await;
         assert_eq!(status(&client.read().await), expected, "{target} {headers}");
     }
+    // Refused by its length alone: not one byte of the body is sent here.
+    let mut huge = Wire::dial(stage.address).await;
+    huge.write("POST /safe/k HTTP/1.1\r\nhost: x\r\ncontent-length: 62914560\r\n\r\n").await;
+    assert_eq!(status(&huge.read().await), "413");
     let (mut client, id) = stage.job("safe", "k").await;
     let (number, mut peer) = stage.peer().await;
     peer.read().await.expect("the job");
@@ -467,6 +489,40 @@
     assert_eq!(status(&client.read().await), "200");
 }
 
+/// Whoever says nothing, or stops half-way, is sent away; a late body with a word.
+#[rstest]
+#[case::silent("", None)]
+#[case::half_a_head("POST /safe/k HTTP/1.1\r\nX-Tr", None)]
+#[case::half_a_body("POST /safe/k HTTP/1.1\r\nhost: x\r\ncontent-length: 9\r\n\r\nwork", Some("408"))]
+#[timeout(HANG)]
+#[tokio::test]
+async fn a_client_that_never_finishes_its_request_is_sent_away(
+    #[case] sent: &str,
+    #[case] answer: Option<&str>,
+) {
+    let stage = Stage::set(1).await;
+    let mut client = Wire::dial(stage.address).await;
+    client.write(sent).await;
+    let last = client.read().await;
+    assert_eq!(last.is_some().then(|| status(&last)), answer);
+    assert!(client.read().await.is_none(), "and the connection is closed");
+}
+
+/// Silent connections take the place of no client, no peer and no callback, however many there are.
+#[rstest]
+#[timeout(HANG)]
+#[tokio::test]
+async fn a_crowd_of_silent_connections_keeps_nobody_out() {
+    let mut stage = Stage::set(1).await;
+    let mut crowd = Vec::new();
+    for _ in 0..2 * SOCKETS {
+        crowd.push(Wire::dial(stage.address).await);
+    }
+    let (mut client, id) = stage.job("safe", "k").await;
+    stage.serve_next(&id).await;
+    assert_eq!(status(&client.read().await), "200");
+}
+
 /// A configuration that can't be used ends the start with the key's name.
 #[rstest]
 #[case::listen("/listen", json!("nowhere"), "listen")]
