Bound the wait for a 202, tell a request's fault from a peer's, heed broken lists

Accepted jobs had their 202 and start within milliseconds, so the time of a dial is ample. Such an attempt now ends as Silent: given up by closing the connection, resent as its class allows, idle connections to the peer closed. Breaks and silence pass a peer over from the second in a row on; the first may be one connection's, or one unreadable request's.

A silent watch was noticed after 12 s (WATCH_WAIT), a list that broke off was thrown away though what was written counts as told, and the next ask came up to 6 s later (ASK_AGAIN); an ask takes 0.23 s. Now 4 s and 1.2 s, entries that leave are heeded from a broken list, asks start again after 0.1 s.

A 4xx of a peer counted as Error, shrank its bound and was resent; now the request fails at once and the peer stays as good as it was.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -345,6 +345,10 @@
     ConnectFailed,
     /// The connection broke; it may have run.
     Reset,
+    /// The worker did not so much as take the job in time, and was given up; it may have run.
+    Silent,
+    /// The worker found fault with the request itself, as any other would; it never ran.
+    Invalid,
     /// Called off; it may have run.
     Cancelled,
     /// Never sent: the request was over, out of time or out of attempts.
@@ -355,8 +359,9 @@
     /// Whether this outcome proves that the job never ran.
     pub fn never_ran(self) -> bool {
         match self {
-            Status::Full | Status::ConnectFailed | Status::Moot => true,
-            Status::Ok | Status::Error | Status::Timeout | Status::Reset | Status::Cancelled => false,
+            Status::Full | Status::ConnectFailed | Status::Invalid | Status::Moot => true,
+            Status::Ok | Status::Error | Status::Timeout => false,
+            Status::Reset | Status::Silent | Status::Cancelled => false,
         }
     }
 }
--- a/src/node/discovery.rs
+++ b/src/node/discovery.rs
@@ -21,11 +21,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::time::Instant;
 
 /// How long a watch may wait at discovery; the protocol allows a minute, but a cut shows only at its end.
-const WATCH_WAIT: Duration = Duration::from_secs(10);
-/// How long an answer may take beyond that; from then on its news counts as told.
+const WATCH_WAIT: Duration = Duration::from_secs(4);
+/// How long its answer may take beyond that. Its news counts as told 2 s beyond; there must be time to ask again.
+const WATCH_MARGIN: Duration = Duration::from_millis(1200);
+/// How long an answer to a call that does not wait may take.
 const ANSWER_WAIT: Duration = Duration::from_secs(2);
+/// How long the rest of an answer may take once its head is here: what is written counts as told.
+const REST_WAIT: Duration = Duration::from_millis(250);
 /// Idle connections to discovery are closed after this.
 const IDLE: Duration = Duration::from_secs(20);
 /// The longest list.
@@ -118,7 +123,32 @@
     Move(SocketAddr),
 }
 
-type Call = Pin<Box<dyn Future<Output = Result<Listing, String>> + Send>>;
+type Call = Pin<Box<dyn Future<Output = Result<Listing, Failure>> + Send>>;
+
+/// A call that failed, and what could be heard of its answer.
+struct Failure {
+    reason: String,
+    /// The peers that it said are leaving: what was written is told, and to heed this can do no harm.
+    leaving: Vec<Instance>,
+}
+
+impl Failure {
+    fn new(reason: String, text: &[u8]) -> Failure {
+        let mut leaving: Vec<Instance> = Vec::new();
+        let key = b"\"instances\"";
+        let start = text.windows(key.len()).position(|window| window == key);
+        let mut rest = start.map_or(&[][..], |start| &text[start + key.len()..]);
+        // Up to the first entry, then from comma to comma; the one that broke off ends it.
+        while let Some(next) = rest.iter().position(|byte| matches!(byte, b'[' | b',')) {
+            let mut entries = serde_json::Deserializer::from_slice(&rest[next + 1..]).into_iter::<Instance>();
+            let Some(Ok(instance)) = entries.next() else { break };
+            rest = &rest[next + 1 + entries.byte_offset()..];
+            leaving.push(instance);
+        }
+        leaving.retain(|instance| instance.state() != MemberState::Ready);
+        Failure { reason, leaving }
+    }
+}
 
 /// Discovery as this scheduler sees it.
 pub struct Discovery {
@@ -189,7 +219,7 @@
     fn watch(&self) -> Call {
         let Some(version) = self.version else { return self.whole() };
         let path = format!("/registry/instances?index={version}&wait={}", WATCH_WAIT.as_millis());
-        self.call(path, WATCH_WAIT + ANSWER_WAIT)
+        self.call(path, WATCH_WAIT + WATCH_MARGIN)
     }
 
     fn whole(&self) -> Call {
@@ -198,23 +228,32 @@
 
     fn call(&self, path: String, wait: Duration) -> Call {
         let (client, uri) = (self.client.clone(), format!("http://{}{path}", self.address));
-        let call = async move {
-            let request = Request::get(uri).body(Empty::new()).map_err(|e| e.to_string())?;
-            let response = client.request(request).await.map_err(|e| e.to_string())?;
-            if response.status() != StatusCode::OK {
-                return Err(response.status().to_string());
-            }
-            let body = Limited::new(response.into_body(), BODY_LIMIT).collect().await;
-            let body = body.map_err(|e| e.to_string())?.to_bytes();
-            serde_json::from_slice(&body).map_err(|e| format!("unreadable list: {e}"))
-        };
         Box::pin(async move {
-            tokio::time::timeout(wait, call).await.unwrap_or_else(|_| Err("no answer".to_string()))
+            let request =
+                Request::get(uri).body(Empty::new()).map_err(|e| Failure::new(e.to_string(), &[]))?;
+            let response = match tokio::time::timeout(wait, client.request(request)).await {
+                Ok(Ok(response)) if response.status() == StatusCode::OK => response,
+                Ok(Ok(response)) => return Err(Failure::new(response.status().to_string(), &[])),
+                Ok(Err(error)) => return Err(Failure::new(error.to_string(), &[])),
+                Err(_) => return Err(Failure::new("no answer".to_string(), &[])),
+            };
+            let mut body = Limited::new(response.into_body(), BODY_LIMIT);
+            let mut text = Vec::new();
+            let rest_by = Instant::now() + REST_WAIT;
+            loop {
+                match tokio::time::timeout_at(rest_by, body.frame()).await {
+                    Ok(Some(Ok(frame))) => text.extend_from_slice(frame.data_ref().map_or(&[], |data| data)),
+                    Ok(None) => break,
+                    Ok(Some(Err(error))) => return Err(Failure::new(error.to_string(), &text)),
+                    Err(_) => return Err(Failure::new("the answer stopped short".to_string(), &text)),
+                }
+            }
+            serde_json::from_slice(&text).map_err(|e| Failure::new(format!("unreadable list: {e}"), &text))
         })
     }
 
     /// Takes an answer; says whether it was one.
-    fn news(&mut self, answer: Result<Listing, String>) -> bool {
+    fn news(&mut self, answer: Result<Listing, Failure>) -> bool {
         match answer {
             Ok(listing) if listing.reset => self.tell(ListKind::Full, listing),
             Ok(listing) if self.version.is_none_or(|version| listing.generation >= version) => {
@@ -222,8 +261,11 @@
             }
             // A list fetched meanwhile is newer than these changes.
             Ok(listing) => log::debug!("changes up to {} are known already", listing.generation),
-            Err(reason) => {
-                log::warn!("discovery: {reason}");
+            Err(Failure { reason, leaving }) => {
+                log::warn!("discovery: {reason}; {} peers are leaving", leaving.len());
+                if !leaving.is_empty() {
+                    self.pass_on(ListKind::Changes, &leaving);
+                }
                 self.engine.handle(Event::Members { kind: ListKind::Failed, members: Vec::new() });
                 return false;
             }
@@ -234,15 +276,19 @@
     fn tell(&mut self, kind: ListKind, listing: Listing) {
         log::debug!("{kind:?} list {}: {} entries", listing.generation, listing.instances.len());
         self.version = Some(listing.generation);
-        let members: Vec<Member> = listing.instances.iter().map(|i| i.member(&self.names)).collect();
-        let entries = listing.instances.iter().zip(&members);
+        self.pass_on(kind, &listing.instances);
+    }
+
+    fn pass_on(&self, kind: ListKind, instances: &[Instance]) {
+        let members: Vec<Member> = instances.iter().map(|i| i.member(&self.names)).collect();
+        let entries = instances.iter().zip(&members);
         let entries = entries.map(|(i, m)| (m.worker, i.instance_id.as_str(), i.host_port.as_str(), m.state));
         self.upstream.apply(kind, entries);
         self.engine.handle(Event::Members { kind, members });
     }
 }
 
-async fn under_way(call: &mut Option<Call>) -> Result<Listing, String> {
+async fn under_way(call: &mut Option<Call>) -> Result<Listing, Failure> {
     match call {
         Some(call) => call.await,
         None => pending().await,
--- a/src/node/request.rs
+++ b/src/node/request.rs
@@ -111,7 +111,11 @@
                     let (engine, upstream, parcel) = (&engine, &upstream, &parcel);
                     let moot = context.reply.is_none() || until <= sent;
                     attempts.push(async move {
-                        let note = |note| engine.handle(Event::Note { request: id, attempt, note });
+                        let note = |note| {
+                            let after = engine.clock.now().saturating_sub(sent);
+                            log::debug!("{:016x}: attempt {} at {worker:?}: {note:?} after {after} us", id.0, attempt.0);
+                            engine.handle(Event::Note { request: id, attempt, note });
+                        };
                         let ended = if moot {
                             Ended::Not(Status::Moot)
                         } else {
--- a/src/node/upstream.rs
+++ b/src/node/upstream.rs
@@ -30,6 +30,8 @@
 
 /// Idle connections kept for one peer; a job holds one only until its 202.
 const IDLE_PER_PEER: usize = 8;
+/// How long a peer may take to answer 202 where the settings put no limit on a dial.
+const TAKEN_WITHIN: Duration = Duration::from_secs(1);
 /// How long a peer is given to answer the call that gives an attempt up.
 const GIVE_UP_WAIT: Duration = Duration::from_secs(2);
 /// The longest body of an answer.
@@ -124,6 +126,8 @@
     peers: Mutex<HashMap<WorkerId, Arc<Peer>>>,
     callbacks: Arc<Table<Callback>>,
     dial_timeout: Duration,
+    /// A connected peer that has not taken a job within this time is silent.
+    taken_within: Duration,
     idle: Duration,
 }
 
@@ -145,7 +149,9 @@
     pub fn new(dial_timeout: Duration, conn_idle: Duration) -> UpstreamGroup {
         // Half of the peers' own time: a connection is never written to when it may just have expired.
         let idle = conn_idle / 2;
-        UpstreamGroup { peers: Mutex::default(), callbacks: Arc::default(), dial_timeout, idle }
+        // As long as a dial may take: each is one round trip of a peer that lives.
+        let taken_within = if dial_timeout.is_zero() { TAKEN_WITHIN } else { dial_timeout };
+        UpstreamGroup { peers: Mutex::default(), callbacks: Arc::default(), dial_timeout, taken_within, idle }
     }
 
     /// Follows discovery's news: for each peer its name, address and state.
@@ -251,6 +257,13 @@
         let mut waiting_for_connection = true;
         let mut exchange = peer.exchange(Method::POST, &parcel.target, Some((parcel, wait)));
         let mut accepted = false;
+        // A peer takes a job at once or not at all: one that stays silent must not hold it to its deadline.
+        let mut connection = exchange.connection.clone();
+        let silence = async {
+            drop(connection.wait_for_connection_metadata().await);
+            tokio::time::sleep(self.taken_within).await;
+        };
+        tokio::pin!(silence);
         loop {
             tokio::select! {
                 biased;
@@ -266,6 +279,13 @@
                     }
                 }
                 Some(call) = inbox.calls.recv() => {
+                    if !accepted {
+                        // The 202 is under way; reading it saves the connection.
+                        let answer = std::mem::replace(&mut exchange.answer, Box::pin(std::future::pending()));
+                        tokio::spawn(tokio::time::timeout(GIVE_UP_WAIT, answer));
+                        accepted = true;
+                        waiting_for_connection = false;
+                    }
                     let ended = match call.state {
                         CallbackState::Started => {
                             note(Note::Started);
@@ -280,22 +300,22 @@
                         CallbackState::Returned => Ended::Not(Status::Full),
                         CallbackState::Lost => Ended::Not(Status::Reset),
                     };
-                    if !accepted {
-                        // The 202 is under way; reading it saves the connection.
-                        tokio::spawn(tokio::time::timeout(GIVE_UP_WAIT, exchange.answer));
-                    }
                     return ended;
                 }
                 answer = &mut exchange.answer, if !accepted => match answer {
                     Ok((StatusCode::ACCEPTED, _)) => {
+                        log::debug!("{}: accepted by {}", parcel.id, peer.name);
                         accepted = true;
                         waiting_for_connection = false;
                     }
                     Ok((_, true)) => return Ended::Not(Status::Full),
+                    Ok((status, false)) if blames_request(status) => return Ended::Not(Status::Invalid),
                     Ok((_, false)) => return Ended::Not(Status::Error),
                     Err(Broken::NeverRan) => return Ended::Not(Status::ConnectFailed),
                     Err(Broken::MayHaveRun) => return Ended::Not(Status::Reset),
                 },
+                // Dropping the exchange closes its connection, which gives the attempt up.
+                () = &mut silence, if !accepted => return Ended::Not(Status::Silent),
                 () = &mut until => {
                     peer.give_up(accepted, &parcel.id);
                     let connected = accepted || exchange.connected();
@@ -306,6 +326,13 @@
     }
 }
 
+/// Whether an answer finds fault with the request itself. 408 and 429 tell of the peer's time and load.
+fn blames_request(status: StatusCode) -> bool {
+    status.is_client_error()
+        && status != StatusCode::REQUEST_TIMEOUT
+        && status != StatusCode::TOO_MANY_REQUESTS
+}
+
 /// How an exchange broke.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Broken {
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -66,7 +66,7 @@
 /// At most this share of the listed workers is passed over for health; beyond it the trouble is shared.
 const EJECT_SHARE: f64 = 0.3;
 /// First pause before asking discovery again, microseconds; doubles up to the second figure.
-const ASK_AGAIN: (Micros, Micros) = (500_000, 4_000_000);
+const ASK_AGAIN: (Micros, Micros) = (100_000, 1_000_000);
 /// Seconds of a tenant's allowance that it may save up and spend at once.
 const ALLOWANCE_DEPTH_S: f64 = 3.0;
 
@@ -787,6 +787,10 @@
         self.learn(now, at, load);
         let shared = self.trouble_is_shared();
         self.judge(now, at, status, latency);
+        if status == Status::Silent {
+            // Where one connection fell silent, the others that stand idle are not to be trusted either.
+            actions.push(Action::CloseIdle(worker));
+        }
         if self.trouble_is_shared() && !shared {
             let text = format!("{} of {} workers failing: trouble is shared", self.ejected, self.ready_count);
             actions.push(Action::Log(text + ", none is passed over"));
@@ -795,10 +799,14 @@
             tried.may_have_run = Some(!status.never_ran());
         }
         if closed {
-            self.close(now, id, actions);
-        } else {
-            self.place(now, id, actions);
+            return self.close(now, id, actions);
         }
+        if status == Status::Invalid && self.open.contains_key(&id) {
+            // The request's own fault: no other worker will have it, and this one is as good as before.
+            actions.push(Action::Fail { request: id });
+            return self.close(now, id, actions);
+        }
+        self.place(now, id, actions);
     }
 
     fn trouble_is_shared(&self) -> bool {
@@ -807,8 +815,10 @@
 
     /// What an outcome says of the worker's room and health.
     fn judge(&mut self, now: Micros, at: usize, status: Status, latency: Micros) {
-        let taken = if status.never_ran() { 0.0 } else { 1.0 };
-        self.accepted += ACCEPTED_STEP * (taken - self.accepted);
+        if status != Status::Invalid {
+            let taken = if status.never_ran() { 0.0 } else { 1.0 };
+            self.accepted += ACCEPTED_STEP * (taken - self.accepted);
+        }
         let worker = &mut self.workers[at];
         match status {
             Status::Ok => {
@@ -829,11 +839,15 @@
             Status::ConnectFailed if latency < self.settings.limits.dial_timeout / 2 => {
                 worker.full_until = now + FULL_RANGE.1 as Micros;
             }
-            Status::ConnectFailed | Status::Reset => {
+            // A connection breaks or falls silent by itself, or over a request that nobody can read: only the
+            // second in a row is the worker's fault.
+            Status::Reset | Status::Silent if worker.failures == 0 => worker.failures = 1,
+            Status::ConnectFailed | Status::Reset | Status::Silent => {
                 worker.ejected_until = now + (EJECT.0 << worker.failures.min(8)).min(EJECT.1);
                 worker.failures += 1;
             }
             Status::Timeout | Status::Error => worker.bound = (worker.bound * 0.7).max(1.0),
+            Status::Invalid => worker.failures = 0,
             Status::Cancelled | Status::Moot => {}
         }
         self.ejected = self.workers.iter().filter(|w| w.ready && now < w.ejected_until).count();
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -87,7 +87,7 @@
         "limits": {"sockets": SOCKETS}, "known": {"generation": 1, "reset": true, "instances": instances},
         "settings": {"me": 0, "balancers": 1, "areas": ["a"], "kinds": ["m"], "zone": 0, "tick": 4000,
             "discovery": "ask", "services": [class("safe", "safe"), class("unsafe", "unsafe"), class("keyed", "keyed")],
-            "limits": {"max_attempts": 2, "may_cancel": true, "dial_timeout": 10_000_000, "retry_after": true,
+            "limits": {"max_attempts": 2, "may_cancel": true, "dial_timeout": 2_000_000, "retry_after": true,
                        "max_retry_after": 2_000_000},
             "rules": {"stop_sending_within": 500_000, "start_capacity": 0.2, "cold": 24_000_000,
                       "tip_multiple": 2.5, "fall": 2_000_000}}})
@@ -255,6 +255,39 @@
     assert_eq!(status(&client.read().await), if resent { "200" } else { "502" });
 }
 
+/// A connected peer that does not take a job loses it, long before the client's time is up.
+#[rstest]
+#[timeout(HANG)]
+#[tokio::test]
+async fn a_peer_that_stays_silent_is_given_up(#[values("safe", "unsafe")] class: &str) {
+    let mut stage = Stage::set(2).await;
+    let (mut client, id) = stage.job(class, "k").await;
+    let (_, mut mute) = stage.peer().await;
+    mute.read().await.expect("the job");
+    if class == "safe" {
+        stage.serve_next(&id).await;
+    }
+    assert_eq!(status(&client.read().await), if class == "safe" { "200" } else { "502" });
+    assert!(mute.read().await.is_none(), "closing the connection gives the attempt up");
+}
+
+/// What one peer finds wrong with a request is wrong everywhere: no resend, and no blame for the peer.
+#[rstest]
+#[timeout(HANG)]
+#[tokio::test]
+async fn a_request_that_a_peer_finds_fault_with_fails_at_once() {
+    let mut stage = Stage::set(2).await;
+    let mut first = None;
+    for _ in 0..3 {
+        let (mut client, _) = stage.job("safe", "k").await;
+        let (number, mut peer) = stage.peer().await;
+        peer.read().await.expect("the job");
+        peer.write("HTTP/1.1 400 No\r\nconnection: close\r\ncontent-length: 0\r\n\r\n").await;
+        assert_eq!(status(&client.read().await), "502");
+        assert_eq!(*first.get_or_insert(number), number, "the key stays with its peer");
+    }
+}
+
 /// A peer that refuses connections never ran the job, whatever its class.
 #[rstest]
 #[timeout(HANG)]
@@ -360,6 +393,33 @@
     }
 }
 
+/// A list that breaks off is no list, but a peer that it has already called draining is told to be.
+#[rstest]
+#[timeout(HANG)]
+#[tokio::test]
+async fn a_broken_list_still_tells_who_leaves() {
+    let mut stage = Stage::set(2).await;
+    let drains = instance(1, stage.peers[1].local_addr().unwrap(), "draining");
+    let mut watch = Wire(stage.discovery.accept().await.expect("the watch").0);
+    assert!(watch.asked().await.contains("index=1&"));
+    let part = format!(
+        "{{\"generation\": 5, \"reset\": true, \"instances\": [{drains}, {{\"instanceId\": \"s-0\", "
+    );
+    watch.write(&format!("HTTP/1.1 200 OK\r\ncontent-length: 9999\r\n\r\n{part}")).await;
+    drop(watch);
+    // The version is what it was.
+    let mut watch = Wire(stage.discovery.accept().await.expect("the next watch").0);
+    assert!(watch.asked().await.contains("index=1&"));
+    for key in 0..8 {
+        let (mut client, id) = stage.job("safe", &key.to_string()).await;
+        let mut peer = Wire(stage.peers[0].accept().await.expect("peer 0 is asked").0);
+        peer.read().await.expect("the job");
+        peer.write("HTTP/1.1 202 Accepted\r\nconnection: close\r\ncontent-length: 0\r\n\r\n").await;
+        stage.call_back(&id, 0, "done").await;
+        assert_eq!(status(&client.read().await), "200");
+    }
+}
+
 /// SIGHUP moves the watch to the discovery that the file now names, whatever the environment says. Versions of
 /// two discoveries can't be compared: the new one's whole list comes first, a lower version included. A file
 /// that can't be used changes nothing, and a job in flight notices none of it.
