--- a/src/interface.rs
+++ b/src/interface.rs
@@ -234,6 +234,29 @@
     pub tick: Micros,
 }
 
+impl Settings {
+    /// Refuses settings that contradict themselves.
+    pub fn check(&self) -> Result<(), SettingsError> {
+        let bad = |field, reason| Err(SettingsError { field, reason });
+        if self.dispatchers == 0 || self.me >= self.dispatchers {
+            return bad("me", "must be below the number of dispatchers");
+        }
+        if self.limits.max_attempts == 0 {
+            return bad("limits.max_attempts", "must be at least 1");
+        }
+        if !(self.rules.cold_share > 0.0 && self.rules.cold_share <= 1.0) {
+            return bad("rules.cold_share", "must lie in (0, 1]");
+        }
+        if !(self.rules.fall_multiple > 0.0 && self.rules.fall_multiple.is_finite()) {
+            return bad("rules.fall_multiple", "must be positive");
+        }
+        if self.tenants.iter().any(|t| !(t.allowance_per_s >= 0.0 && t.allowance_per_s.is_finite())) {
+            return bad("tenants.allowance_per_s", "must not be negative");
+        }
+        Ok(())
+    }
+}
+
 /// Why [`Settings`] were refused: the field, and what is wrong with it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct SettingsError {
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -33,8 +33,7 @@
 const REPORT_HORIZON: Micros = 1_000_000;
 /// Reports show a state at least this old, so own sends younger than that are added, microseconds.
 const REPORT_LAG: Micros = 150_000;
-/// Probes earned by each request, and how many may be saved up: jobs that wait through an overload would
-/// else spend the processor and the workers on looking.
+/// Probes earned by each request, and how many may be saved up.
 const PROBE_BUDGET: (f64, f64) = (4.0, 40.0);
 /// A probe unanswered for this long is not waited for, microseconds.
 const PROBE_PATIENCE: Micros = 30_000;
@@ -54,11 +53,19 @@
 const FULL_DEFAULT: Micros = 150_000;
 /// Bounds of that time when it is derived from the worker's own service time, microseconds.
 const FULL_RANGE: (f64, f64) = (30e3, 600e3);
-/// Blind repeats earned by each job served, and how many may be saved up: when everything is full, repeats
-/// add cost and connections but no capacity, so they stay in proportion to what is served.
+/// Blind repeats earned by each job served, and how many may be saved up: they add cost, but no capacity.
 const REPEAT_BUDGET: (f64, f64) = (1.0, 10.0);
 /// Word of a start takes no longer than this where the job need not wait, microseconds.
 const START_LAG: Micros = 60_000;
+/// A job not started within this, or a quarter of its time, waits for a slot and may move.
+const MOVE_AFTER: Micros = 300_000;
+/// How often one request may be moved, and from how many saved repeats on: where much fails, those go first.
+const MOVES: usize = 2;
+const MOVE_BUDGET: f64 = 0.9 * REPEAT_BUDGET.1;
+/// A running job goes elsewhere if the rest of it takes this many times as long as all of it ought to.
+const CRAWL: f64 = 3.0;
+/// A running job without word for this many intervals of progress stands still.
+const STILL: u64 = 2;
 /// Weight of one attempt in the running share of attempts taken in.
 const ACCEPTED_STEP: f64 = 0.05;
 /// First time that a worker that failed is passed over, microseconds; doubles up to the second figure.
@@ -73,6 +80,7 @@
 const TIMER_REQUEST: u64 = 0;
 const TIMER_HOLD: u64 = 1;
 const TIMER_ASK: u64 = 2;
+const TIMER_WATCH: u64 = 3;
 
 /// Stable 64-bit finaliser (splitmix64): the same on every machine and in every port.
 fn mix(x: u64) -> u64 {
@@ -101,6 +109,8 @@
     class: usize,
     key: u64,
     slots: f64,
+    /// Expected work; 0 without a hint.
+    work: Micros,
     arrived: Micros,
     due: Micros,
     sequence: u64,
@@ -116,6 +126,14 @@
     holding: bool,
 }
 
+/// An own attempt that runs: its number, since when, when it was last heard of, and the share done by then.
+struct Started {
+    attempt: (RequestId, u32),
+    began: Micros,
+    heard: Micros,
+    share: f64,
+}
+
 /// What this dispatcher knows of a worker.
 #[derive(Default)]
 struct Worker {
@@ -140,7 +158,7 @@
     /// Own attempts out: request, attempt, when sent, slots.
     out: Vec<(RequestId, u32, Micros, f64)>,
     /// Those of them that have started, where workers tell.
-    started: Vec<(RequestId, u32)>,
+    started: Vec<Started>,
     probe_sent: Option<Micros>,
     waiters: Vec<RequestId>,
     /// Refusals since it last served one of ours.
@@ -149,6 +167,11 @@
     ejected_until: Micros,
 }
 
+/// When to look after an attempt sent now of a request due then.
+fn watch_at(now: Micros, due: Micros) -> Micros {
+    now + MOVE_AFTER.min(due.saturating_sub(now) / 4).max(START_LAG)
+}
+
 impl Worker {
     fn own_slots(&self) -> f64 {
         self.out.iter().map(|o| o.3).sum()
@@ -167,7 +190,11 @@
     /// Whether an own job has waited here for longer than word of its start takes: the slots are full.
     fn keeps_waiting(&self, now: Micros) -> bool {
         let overdue = |o: &&(RequestId, u32, Micros, f64)| o.2 + START_LAG < now;
-        self.tells_start && self.out.iter().filter(overdue).any(|o| !self.started.contains(&(o.0, o.1)))
+        self.tells_start && self.out.iter().filter(overdue).any(|o| self.running((o.0, o.1)).is_none())
+    }
+
+    fn running(&self, attempt: (RequestId, u32)) -> Option<&Started> {
+        self.started.iter().find(|s| s.attempt == attempt)
     }
 
     fn busy(&self, now: Micros, slots: f64) -> bool {
@@ -252,7 +279,7 @@
 impl Policy {
     /// A policy that knows nothing yet. Settings that contradict themselves are refused.
     pub fn new(settings: Settings, seed: u64) -> Result<Policy, SettingsError> {
-        check(&settings)?;
+        settings.check()?;
         let allowance = settings.tenants.iter().map(|t| (t.allowance_per_s, 0)).collect();
         Ok(Policy {
             settings,
@@ -288,7 +315,7 @@
             Event::Outcome { request, attempt, worker, status, latency, closed, load } => {
                 self.on_outcome(now, request, attempt, worker, (status, latency), closed, load, actions)
             }
-            Event::Note { request, attempt, note: _ } => self.on_note(request, attempt),
+            Event::Note { request, attempt, note } => self.on_note(now, request, attempt, note),
             Event::StreamStarted { .. } | Event::PeerMessage { .. } => {}
             Event::Withdrawn(request) => self.close(now, request, actions),
             Event::Timer(token) => self.on_timer(now, token, actions),
@@ -478,7 +505,7 @@
                 }
             }
             let failed_here =
-                open.attempts.iter().any(|a| a.worker == worker.id && a.may_have_run == Some(true));
+                open.attempts.iter().any(|a| a.worker == worker.id && a.may_have_run != Some(false));
             if failed_here || (health && now < worker.ejected_until) {
                 continue;
             }
@@ -533,7 +560,8 @@
         let slots = if request.slots.is_finite() && request.slots > 0.0 { request.slots } else { 1.0 };
         self.by_sequence.insert(sequence, request.id);
         let (arrived, due, retry) = (now, request.due, request.retry);
-        let sized = Open { slots, width, key_load, over_share, retry, ..Open::default() };
+        let work = request.expected_work.unwrap_or(0);
+        let sized = Open { slots, work, width, key_load, over_share, retry, ..Open::default() };
         self.open.insert(request.id, Open { class, key, arrived, due, sequence, ..sized });
         let at = request.due.saturating_sub(self.guard()).max(now);
         actions.push(Action::SetTimer { at, token: TimerToken(TIMER_REQUEST << 56 | sequence) });
@@ -684,6 +712,11 @@
         open.holding = false;
         open.probing_until = None;
         actions.push(Action::Send { request: id, worker: worker.id, timeout: None });
+        let limits = &self.settings.limits;
+        if worker.tells_start && limits.may_cancel && limits.second_copies {
+            let token = TimerToken(TIMER_WATCH << 56 | open.sequence);
+            actions.push(Action::SetTimer { at: watch_at(now, open.due), token });
+        }
     }
 
     /// How long before its due time a request without an attempt out is answered: two ticks and a little.
@@ -783,7 +816,7 @@
             return;
         };
         self.workers[at].out.swap_remove(place);
-        self.workers[at].started.retain(|s| *s != (id, attempt.0));
+        self.workers[at].started.retain(|s| s.attempt != (id, attempt.0));
         self.learn(now, at, load);
         let shared = self.trouble_is_shared();
         self.judge(now, at, status, latency);
@@ -792,8 +825,7 @@
             actions.push(Action::CloseIdle(worker));
         }
         if self.trouble_is_shared() && !shared {
-            let text = format!("{} of {} workers failing: trouble is shared", self.ejected, self.ready_count);
-            actions.push(Action::Log(text + ", none is passed over"));
+            actions.push(Action::Log(format!("{} workers failing: none is passed over", self.ejected)));
         }
         if let Some(tried) = self.open.get_mut(&id).and_then(|o| o.attempts.get_mut(attempt.0 as usize)) {
             tried.may_have_run = Some(!status.never_ran());
@@ -854,15 +886,52 @@
     }
 
     /// Word of a start or of progress: the job has its slots.
-    fn on_note(&mut self, id: RequestId, attempt: AttemptNo) {
+    fn on_note(&mut self, now: Micros, id: RequestId, attempt: AttemptNo, note: Note) {
         let tried = self.open.get(&id).and_then(|open| open.attempts.get(attempt.0 as usize));
         let Some(&at) = tried.and_then(|tried| self.index.get(&tried.worker)) else { return };
-        let (worker, word) = (&mut self.workers[at], (id, attempt.0));
-        if worker.out.iter().any(|o| (o.0, o.1) == word) && !worker.started.contains(&word) {
-            worker.started.push(word);
+        let (worker, attempt) = (&mut self.workers[at], (id, attempt.0));
+        let share = if let Note::Progress(share) = note { share } else { 0.0 };
+        if let Some(started) = worker.started.iter_mut().find(|s| s.attempt == attempt) {
+            (started.heard, started.share) = (now, share);
+        } else if worker.out.iter().any(|o| (o.0, o.1) == attempt) {
+            worker.started.push(Started { attempt, began: now, heard: now, share });
         }
     }
 
+    /// Looks after an attempt that is out, where workers tell of starts: a job that waits for its own, stands
+    /// still or crawls is called off and goes to the next candidate that is not busy.
+    fn look_after(&mut self, now: Micros, id: RequestId, actions: &mut Vec<Action>) {
+        let Some(open) = self.open.get(&id) else { return };
+        let Some(number) = open.attempts.iter().rposition(|a| a.may_have_run.is_none()) else { return };
+        let Some(&at) = self.index.get(&open.attempts[number].worker) else { return };
+        let tries = open.attempts.iter().filter(|a| a.may_have_run != Some(false)).count();
+        if now < watch_at(open.attempts[number].sent, open.due) || tries > MOVES {
+            return; // An earlier attempt's timer, while this one has its own; or there is no move left.
+        }
+        let (slots, every) = (open.slots, self.settings.progress_every);
+        let running = self.workers[at].running((id, number as u32));
+        let still = running.is_some_and(|s| every > 0 && now > s.heard + STILL * every);
+        let crawls = running.is_some_and(|s| {
+            let rest = (s.heard - s.began) as f64 * (1.0 - s.share) / s.share;
+            s.share > 0.0 && open.work > 0 && rest > CRAWL * open.work as f64
+        });
+        let waits = running.is_none();
+        if (waits || still || crawls) && self.budget >= MOVE_BUDGET && self.may_send_again(now, open) {
+            let next = self.candidates(now, id);
+            let free = |to: &&usize| **to != at && !self.workers[**to].busy(now, slots);
+            if let Some(&to) = next.iter().find(free) {
+                self.budget -= 1.0;
+                if still {
+                    self.judge(now, at, Status::Silent, 0);
+                }
+                actions.push(Action::Cancel { request: id, attempt: AttemptNo(number as u32) });
+                return self.send(now, id, to, actions);
+            }
+        }
+        let at = now + if waits { START_LAG } else { every.max(MOVE_AFTER) };
+        actions.push(Action::SetTimer { at, token: TimerToken(TIMER_WATCH << 56 | self.open[&id].sequence) });
+    }
+
     fn on_probed(
         &mut self,
         now: Micros,
@@ -895,7 +964,9 @@
         }
         let Some(&id) = self.by_sequence.get(&sequence) else { return };
         let Some(open) = self.open.get(&id) else { return };
-        if kind == TIMER_HOLD {
+        if kind == TIMER_WATCH {
+            self.look_after(now, id, actions);
+        } else if kind == TIMER_HOLD {
             if open.holding || open.probing_until.is_some_and(|until| now >= until) {
                 self.place(now, id, actions);
             }
@@ -930,24 +1001,3 @@
         ..Worker::default()
     }
 }
-
-/// Refuses settings that contradict themselves.
-fn check(settings: &Settings) -> Result<(), SettingsError> {
-    let bad = |field, reason| Err(SettingsError { field, reason });
-    if settings.dispatchers == 0 || settings.me >= settings.dispatchers {
-        return bad("me", "must be below the number of dispatchers");
-    }
-    if settings.limits.max_attempts == 0 {
-        return bad("limits.max_attempts", "must be at least 1");
-    }
-    if !(settings.rules.cold_share > 0.0 && settings.rules.cold_share <= 1.0) {
-        return bad("rules.cold_share", "must lie in (0, 1]");
-    }
-    if !(settings.rules.fall_multiple > 0.0 && settings.rules.fall_multiple.is_finite()) {
-        return bad("rules.fall_multiple", "must be positive");
-    }
-    if settings.tenants.iter().any(|t| !(t.allowance_per_s >= 0.0 && t.allowance_per_s.is_finite())) {
-        return bad("tenants.allowance_per_s", "must not be negative");
-    }
-    Ok(())
-}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -137,3 +137,92 @@
         assert!(if told { (1..=most).contains(&advice) } else { advice == 0 }, "told {told}: {advice}");
     }
 }
+
+fn watching() -> Driver {
+    let mut settings = Settings { tells_start: true, progress_every: S, ..settings() };
+    settings.limits.second_copies = true;
+    Driver::with_fleet(settings, 12)
+}
+
+/// Runs the driver's clock on and lets the timers in `done` fall due; adds what the module does about them.
+fn wait(d: &mut Driver, span: Micros, done: &mut Vec<Action>) {
+    let until = d.now + span;
+    let due =
+        |done: &[Action], from: Micros| timers(done).into_iter().filter(|t| t.0 > from && t.0 <= until).min();
+    while let Some((at, _)) = due(done, d.now) {
+        for (_, token) in timers(done).into_iter().filter(|t| t.0 == at) {
+            done.extend(d.at(at, Event::Timer(token)));
+        }
+    }
+    d.now = until;
+}
+
+fn note(note: Note) -> Event {
+    Event::Note { request: RequestId(1), attempt: AttemptNo(0), note }
+}
+
+/// A slow or stuck worker does not keep the jobs it has: one that waits for a slot, stands still or crawls is
+/// called off and sent elsewhere, as its class allows. One that gets on stays.
+#[test]
+fn a_job_that_does_not_get_on_is_moved_as_its_class_allows() {
+    let waits: &[(Micros, f64)] = &[];
+    let still = &[(0, 0.0), (S, 0.5)][..];
+    let crawls = &[(0, 0.0), (S, 0.1), (S, 0.2)][..];
+    let runs = &[(0, 0.0), (S, 0.5), (S, 0.8), (S, 0.9)][..];
+    for (notes, moved) in [(waits, true), (still, true), (crawls, true), (runs, false)] {
+        for class in [SAFE, KEYED_ALL, UNSAFE] {
+            let mut d = watching();
+            let mut job = request(1, class, "k", d.now + 60 * S);
+            job.expected_work = Some(S);
+            let mut done = d.event(Event::Request(job));
+            let worker = sent(&done);
+            for (after, share) in notes {
+                wait(&mut d, *after, &mut done);
+                d.event(note(if *share == 0.0 { Note::Started } else { Note::Progress(*share) }));
+            }
+            wait(&mut d, if moved { 4 * S } else { S }, &mut done);
+            let next = &sends(&done)[1..];
+            // The keyed window ends 2 s after the first attempt, before that one is known to stand still.
+            let allowed = class == SAFE || class == KEYED_ALL && notes != still;
+            assert_eq!(!next.is_empty(), moved && allowed, "class {class}, {notes:?}: {done:?}");
+            assert!(!next.contains(&worker));
+            let off = Action::Cancel { request: RequestId(1), attempt: AttemptNo(0) };
+            assert_eq!(done.contains(&off), moved && allowed);
+        }
+    }
+}
+
+/// A fleet that has served jobs of so many keys that none of them is spread.
+fn busy_fleet() -> Driver {
+    let mut d = Driver::with_fleet(settings(), 12);
+    for id in 1000..1200 {
+        let worker = sent(&d.request(id, SAFE, &id.to_string()));
+        d.event(outcome(id, 0, worker, Status::Ok));
+    }
+    d
+}
+
+/// A break or a silence may be one connection's, or the request's; the second in a row is the worker's.
+#[test]
+fn a_worker_is_passed_over_from_the_second_break_in_a_row() {
+    for status in [Status::Reset, Status::Silent] {
+        let mut d = busy_fleet();
+        let worker = sent(&d.request(1, SAFE, "k"));
+        d.event(outcome(1, 0, worker, status));
+        assert_eq!(sent(&d.request(2, SAFE, "k")), worker);
+        d.event(outcome(2, 0, worker, status));
+        assert_ne!(sent(&d.request(3, SAFE, "k")), worker);
+    }
+}
+
+/// What a worker finds wrong with a request is wrong everywhere, and says nothing against the worker.
+#[test]
+fn an_invalid_request_fails_at_once_and_blames_nobody() {
+    let mut d = busy_fleet();
+    let worker = sent(&d.request(1, SAFE, "k"));
+    for id in 1..4 {
+        let actions = d.event(outcome(id, 0, worker, Status::Invalid));
+        assert!(failed(&actions) && sends(&actions).is_empty(), "{actions:?}");
+        assert_eq!(sent(&d.request(id + 1, SAFE, "k")), worker);
+    }
+}
