--- a/src/interface.rs
+++ b/src/interface.rs
@@ -447,6 +447,8 @@
     Withdrawn(RequestId),
     /// A timer fell due.
     Timer(TimerToken),
+    /// The dispatcher is about to end: what is still open needs its final answer now.
+    Ending,
     /// The result of one [`Action::Probe`].
     Probed {
         /// The worker.
--- a/src/main.rs
+++ b/src/main.rs
@@ -22,6 +22,9 @@
 const LET_IDLE: Duration = Duration::from_millis(500);
 /// After SIGTERM, the listener stays at least this long: new connections keep arriving.
 const LISTEN_ON: Duration = Duration::from_millis(900);
+/// After SIGTERM, what is still open then gets its final answer: SIGKILL may come 3.7 s after SIGTERM, and what
+/// it finds unanswered is lost.
+const LAST_CALL: Duration = Duration::from_millis(3300);
 /// Nothing must be owed for this long before the program ends; the last answers leave the socket meanwhile.
 const QUIET: Duration = Duration::from_millis(100);
 
@@ -65,8 +68,13 @@
     front.enter(Phase::Closing);
     sleep_until(told + LISTEN_ON).await;
     let mut quiet_since = Instant::now();
+    let mut leaving = false;
     while quiet_since.elapsed() < QUIET {
         sleep(QUIET / 10).await;
+        if !leaving && told.elapsed() >= LAST_CALL {
+            leaving = true;
+            front.enter(Phase::Leaving);
+        }
         if front.owes() {
             quiet_since = Instant::now();
         }
--- a/src/node/front.rs
+++ b/src/node/front.rs
@@ -21,7 +21,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use silverproxy::interface::{Class, ClassId, Effect, Micros, Request, TenantId};
+use silverproxy::interface::{Class, ClassId, Effect, Event, Micros, Request, TenantId};
 use std::convert::Infallible;
 use std::sync::Arc;
 use std::time::Duration;
@@ -49,6 +49,8 @@
     Draining,
     /// Idle connections are closed as well.
     Closing,
+    /// Nothing more is taken, and what is open is given its final answer.
+    Leaving,
 }
 
 /// See the head of this file.
@@ -92,6 +94,9 @@
     /// Goes on to the next phase.
     pub fn enter(&self, phase: Phase) {
         self.phase.send_replace(phase);
+        if phase == Phase::Leaving {
+            self.engine.handle(Event::Ending);
+        }
     }
 
     /// Whether any call is still owed its answer. One that has not fully arrived is not.
@@ -146,7 +151,7 @@
             tokio::select! {
                 served = serving.as_mut() => break served,
                 () = connection.ended() => return log::debug!("client connection ended: spare or too slow"),
-                () = async { drop(phase.wait_for(|phase| *phase == Phase::Closing).await) }, if !closing => {
+                () = async { drop(phase.wait_for(|phase| *phase >= Phase::Closing).await) }, if !closing => {
                     serving.as_mut().graceful_shutdown();
                     closing = true;
                 }
@@ -180,7 +185,7 @@
 async fn ready(State(front): State<Arc<Front>>) -> StatusCode {
     match *front.phase.borrow() {
         Phase::Open => StatusCode::OK,
-        Phase::Draining | Phase::Closing => StatusCode::SERVICE_UNAVAILABLE,
+        Phase::Draining | Phase::Closing | Phase::Leaving => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
 
@@ -218,6 +223,9 @@
         Ok(read) => read,
         Err(refused) => return refused.into_response(),
     };
+    if *front.phase.borrow() == Phase::Leaving {
+        return (StatusCode::SERVICE_UNAVAILABLE, "ending\n").into_response();
+    }
     let job = match front.job(&parts, body, room) {
         Ok(job) => job,
         Err(reason) => return (StatusCode::BAD_REQUEST, format!("{reason}\n")).into_response(),
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -47,7 +47,7 @@
 const SPARE_SHARE: f64 = 0.25;
 /// Where no report tells, a late job is sent only while workers take in at least this share of attempts.
 const LATE_ACCEPTED: f64 = 0.7;
-/// A request that waits looks again after this part of its age, so that fresh ones, still in time, go first.
+/// A request that waits looks again after this part of its age, so that fresh ones go first.
 const HOLD_SHARE: u64 = 4;
 /// A worker that refused is taken for full this long if nothing better is known, microseconds.
 const FULL_DEFAULT: Micros = 150_000;
@@ -319,6 +319,10 @@
             Event::StreamStarted { .. } | Event::PeerMessage { .. } => {}
             Event::Withdrawn(request) => self.close(now, request, actions),
             Event::Timer(token) => self.on_timer(now, token, actions),
+            Event::Ending => {
+                let open: Vec<RequestId> = self.open.keys().copied().collect();
+                open.into_iter().for_each(|id| self.give_up(now, id, actions));
+            }
             Event::Probed { worker, status, latency: _, load } => {
                 self.on_probed(now, worker, status, load, actions)
             }
@@ -612,8 +616,7 @@
             return self.give_up(now, id, actions);
         }
         let (slots, over_share, attempts) = (open.slots, open.over_share, open.attempts.len());
-        // Past its aim a job is worth a part only: it waits for spare room, or every queue would stay so long
-        // after a burst that all that follows is late as well.
+        // Past its aim a job waits for spare room, or queues would stay long and make all that follows late.
         let aim = self.settings.classes[open.class].aim;
         let late = now.saturating_sub(open.arrived) > if open.retry { aim / 2 } else { aim };
         let gave_up_waiting = open.probing_until.is_some_and(|until| now >= until);
@@ -758,12 +761,11 @@
                 Effect::Safe | Effect::Keyed { group: RepeatGroup::All, .. } => true,
                 Effect::Keyed { .. } | Effect::Unsafe => false,
             };
-        if harmless {
-            let retry_after = self.advice(now, open.class);
-            actions.push(Action::Refuse { request: id, retry_after });
+        actions.push(if harmless {
+            Action::Refuse { request: id, retry_after: self.advice(now, open.class) }
         } else {
-            actions.push(Action::Fail { request: id });
-        }
+            Action::Fail { request: id }
+        });
         self.close(now, id, actions);
     }
 
@@ -847,10 +849,9 @@
 
     /// What an outcome says of the worker's room and health.
     fn judge(&mut self, now: Micros, at: usize, status: Status, latency: Micros) {
-        if status != Status::Invalid {
-            let taken = if status.never_ran() { 0.0 } else { 1.0 };
-            self.accepted += ACCEPTED_STEP * (taken - self.accepted);
-        }
+        let taken = if status.never_ran() { 0.0 } else { 1.0 };
+        let weight = if status == Status::Invalid { 0.0 } else { ACCEPTED_STEP };
+        self.accepted += weight * (taken - self.accepted);
         let worker = &mut self.workers[at];
         match status {
             Status::Ok => {
@@ -871,8 +872,7 @@
             Status::ConnectFailed if latency < self.settings.limits.dial_timeout / 2 => {
                 worker.full_until = now + FULL_RANGE.1 as Micros;
             }
-            // A connection breaks or falls silent by itself, or over a request that nobody can read: only the
-            // second in a row is the worker's fault.
+            // One break or silence may be its connection's fault, or its request's; a second in a row is not.
             Status::Reset | Status::Silent if worker.failures == 0 => worker.failures = 1,
             Status::ConnectFailed | Status::Reset | Status::Silent => {
                 worker.ejected_until = now + (EJECT.0 << worker.failures.min(8)).min(EJECT.1);
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -496,6 +496,23 @@
     assert!(stage.daemon.wait().expect("it ends").success());
 }
 
+/// What can't be finished before the end is answered all the same, and the peer is told to stop.
+#[rstest]
+#[timeout(HANG)]
+#[tokio::test]
+async fn what_is_open_at_the_very_end_gets_its_answer() {
+    let mut stage = Stage::set(1).await;
+    let (mut client, id) = stage.job("safe", "k").await;
+    let (number, mut peer) = stage.peer().await;
+    peer.read().await.expect("the job");
+    peer.write(ACCEPTED).await;
+    stage.call_back(&id, number, "started").await;
+    stage.signal("-TERM");
+    assert_eq!(status(&client.read().await), "503");
+    assert!(peer.read().await.expect("a call").0.starts_with(&format!("delete /jobs/{id} ")));
+    assert!(stage.daemon.wait().expect("it ends").success());
+}
+
 /// No input ends the program or reaches a peer half understood.
 #[rstest]
 #[timeout(HANG)]
