--- a/tests/node.rs
+++ b/tests/node.rs
@@ -182,6 +182,19 @@
         assert!(Command::new("kill").args([signal, &pid]).status().expect("kill runs").success());
     }
 
+    /// Hands in jobs of many keys, and lets peer 0 and no other serve them.
+    async fn peer_0_serves(&mut self, class: &str) {
+        for key in 0..8 {
+            let (mut client, id) = self.job(class, &key.to_string()).await;
+            let mut peer = Wire(self.peers[0].accept().await.expect("peer 0 is asked").0);
+            peer.read().await.expect("the job");
+            // Ends the connection after each job, so that the next one is seen to be dialled.
+            peer.write("HTTP/1.1 202 Accepted\r\nconnection: close\r\ncontent-length: 0\r\n\r\n").await;
+            self.call_back(&id, 0, "done").await;
+            assert_eq!(status(&client.read().await), "200");
+        }
+    }
+
     /// Lets whichever peer is asked next serve the job that is waiting.
     async fn serve_next(&self, id: &str) {
         let (number, mut peer) = self.peer().await;
@@ -297,15 +310,7 @@
     let refusing = TcpSocket::new_v4().expect("a socket");
     refusing.bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a port");
     let mut stage = Stage::set_with(1, &[refusing.local_addr().expect("bound")]).await;
-    for key in 0..8 {
-        let (mut client, id) = stage.job("unsafe", &key.to_string()).await;
-        let (_, mut peer) = stage.peer().await;
-        peer.read().await.expect("the job");
-        // Ends the connection after each job, so that the next one is seen to be dialled.
-        peer.write("HTTP/1.1 202 Accepted\r\nconnection: close\r\ncontent-length: 0\r\n\r\n").await;
-        stage.call_back(&id, 0, "done").await;
-        assert_eq!(status(&client.read().await), "200");
-    }
+    stage.peer_0_serves("unsafe").await;
 }
 
 /// A connection that the peer has closed while it was idle is never written to.
@@ -383,14 +388,7 @@
     }
     // The unreadable list ended the watch; the module asks again from the version that it has.
     assert!(watch.read().await.expect("a call").0.contains("index=5&"));
-    for key in 0..8 {
-        let (mut client, id) = stage.job("safe", &key.to_string()).await;
-        let mut peer = Wire(stage.peers[0].accept().await.expect("peer 0 is asked").0);
-        peer.read().await.expect("the job");
-        peer.write("HTTP/1.1 202 Accepted\r\nconnection: close\r\ncontent-length: 0\r\n\r\n").await;
-        stage.call_back(&id, 0, "done").await;
-        assert_eq!(status(&client.read().await), "200");
-    }
+    stage.peer_0_serves("safe").await;
 }
 
 /// A list that breaks off is no list, but a peer that it has already called draining is told to be.
@@ -410,14 +408,7 @@
     // The version is what it was.
     let mut watch = Wire(stage.discovery.accept().await.expect("the next watch").0);
     assert!(watch.asked().await.contains("index=1&"));
-    for key in 0..8 {
-        let (mut client, id) = stage.job("safe", &key.to_string()).await;
-        let mut peer = Wire(stage.peers[0].accept().await.expect("peer 0 is asked").0);
-        peer.read().await.expect("the job");
-        peer.write("HTTP/1.1 202 Accepted\r\nconnection: close\r\ncontent-length: 0\r\n\r\n").await;
-        stage.call_back(&id, 0, "done").await;
-        assert_eq!(status(&client.read().await), "200");
-    }
+    stage.peer_0_serves("safe").await;
 }
 
 /// SIGHUP moves the watch to the discovery that the file now names, whatever the environment says. Versions of
