Move the sources into a workspace by concern

Need: emulator, rehearsals and further protocols need places of their own, and the daemon must be usable as a library. Change: decision module, settings reader, simulator's wire and daemon are packages of their own; files moved with their history. The reading of the settings object is no longer a by-product of the wire (crates/settings), and the circle between engine.rs and discovery.rs is broken: what is asked of discovery stands in ask.rs. The platform's build names only the packages that it needs. No behaviour changed.

--- a/Makefile
+++ b/Makefile
@@ -4,14 +4,14 @@
 .PHONY: build test lint run
 
 build:
-	cargo build --release --locked
+	cargo build --release --locked -p vetchbridge -p wirehost
 
 test:
-	cargo test --locked
+	cargo test --workspace --locked
 
 lint:
 	cargo fmt --all -- --check
-	cargo clippy --locked --all-targets -- -D warnings
+	cargo clippy --workspace --locked --all-targets -- -D warnings
 
 run: build
 	BALANCER_CONFIG=$(CONFIG) target/release/vetchbridge
--- a/src/lib.rs
+++ b/crates/silverproxy/src/lib.rs
@@ -62,7 +62,6 @@
 
 pub mod interface;
 pub mod policy;
-pub mod wire;
 
 pub use interface::*;
 pub use policy::Policy;
--- a/src/node/config.rs
+++ b/crates/vetchbridge/src/config.rs
@@ -3,7 +3,7 @@
 //! Owns nothing that lives on: it turns the environment and the file at `BALANCER_CONFIG` into a [`Config`],
 //! or into one message that names the faulty key. It must never open a socket or give the module an event.
 
-use super::discovery::{Listing, Names};
+use crate::discovery::{Listing, Names};
 use serde::de::DeserializeOwned;
 use serde_json::{Map, Value};
 use silverproxy::interface::Class;
@@ -110,9 +110,9 @@
         Some(_) => return bad("settings", "not an object"),
         None => return bad("settings", "missing"),
     };
-    let settings = match silverproxy::wire::settings(&settings_json.to_string()) {
+    let settings = match silverproxy_settings::from_value(&settings_json) {
         Ok(settings) => settings,
-        Err(fault) => return bad(&fault.field.replacen("setup", "settings", 1), fault.reason),
+        Err(fault) => return bad(&fault.key_under("settings"), fault.reason),
     };
     let names = Names {
         zones: optional(&settings_json, "areas", "settings.areas")?.unwrap_or_default(),
--- a/src/node/discovery.rs
+++ b/crates/vetchbridge/src/discovery.rs
@@ -5,8 +5,9 @@
 //! the module subscribes again. It must never ask unbidden (but for a move of discovery itself), nor drop the
 //! list it has for one it can't read, nor compare versions of one discovery with those of another.
 
-use super::engine::Engine;
-use super::upstream::{worker_id, UpstreamGroup};
+use crate::ask::Ask;
+use crate::engine::Engine;
+use crate::upstream::{worker_id, UpstreamGroup};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::{Request, StatusCode};
@@ -112,17 +113,6 @@
     }
 }
 
-/// What the module may ask of discovery.
-#[derive(Debug)]
-pub enum Ask {
-    /// Follow the changes, or stop.
-    Subscribe(bool),
-    /// The whole list, once.
-    Fetch,
-    /// Discovery is at this address from now on. The operators' ask, not the module's.
-    Move(SocketAddr),
-}
-
 type Call = Pin<Box<dyn Future<Output = Result<Listing, Failure>> + Send>>;
 
 /// A call that failed, and what could be heard of its answer.
--- a/src/node/engine.rs
+++ b/crates/vetchbridge/src/engine.rs
@@ -4,8 +4,8 @@
 //! request context, the upstream group, discovery or the siblings it belongs to. Carrying never waits, so
 //! the lock is held for one event at a time. The engine must never judge, drop or reorder an action.
 
-use super::discovery::Ask;
-use super::upstream::UpstreamGroup;
+use crate::ask::Ask;
+use crate::upstream::UpstreamGroup;
 use silverproxy::interface::*;
 use silverproxy::policy::Policy;
 use std::cmp::Reverse;
--- a/src/node/front.rs
+++ b/crates/vetchbridge/src/front.rs
@@ -4,10 +4,10 @@
 //! it, and bounds the memory that bodies take. It must never hold a request back, answer for the module, or
 //! pass on a request whose framing or meaning is in doubt.
 
-use super::connections::{ClientConnection, ClientConnections, Place, Watched, HEAD_LIMIT};
-use super::engine::Engine;
-use super::request::{submit, Answer, Job};
-use super::upstream::{request_id, Callback, Parcel, UpstreamGroup};
+use crate::connections::{ClientConnection, ClientConnections, Place, Watched, HEAD_LIMIT};
+use crate::engine::Engine;
+use crate::request::{submit, Answer, Job};
+use crate::upstream::{request_id, Callback, Parcel, UpstreamGroup};
 use axum::body::{to_bytes, Body, HttpBody};
 use axum::extract::{Extension, Request as HttpRequest, State};
 use axum::http::header::{CONNECTION, HOST, RETRY_AFTER};
--- /dev/null
+++ b/crates/vetchbridge/src/lib.rs
@@ -0,0 +1,13 @@
+//! vetchbridge, the scheduler daemon: sockets around the decision module. Nothing in this crate decides where a job
+//! goes, when it is tried again or what a client is told; [`serve::run`] is the whole program.
+
+pub mod ask;
+pub mod config;
+pub mod connections;
+pub mod discovery;
+pub mod engine;
+pub mod front;
+pub mod request;
+pub mod serve;
+pub mod siblings;
+pub mod upstream;
--- a/src/node/request.rs
+++ b/crates/vetchbridge/src/request.rs
@@ -4,8 +4,8 @@
 //! protocol: front makes a [`Job`] and renders an [`Answer`]. It must never choose a peer, a pause or an
 //! answer itself; it asks the module, through the engine, at each point of choice.
 
-use super::engine::{Engine, Step};
-use super::upstream::{Ended, Parcel, UpstreamGroup};
+use crate::engine::{Engine, Step};
+use crate::upstream::{Ended, Parcel, UpstreamGroup};
 use bytes::Bytes;
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use silverproxy::interface::*;
--- a/src/main.rs
+++ b/crates/vetchbridge/src/serve.rs
@@ -1,16 +1,13 @@
-//! vetchbridge: the scheduler daemon. This file owns the start, the wiring and the end of the program; it must
-//! never touch a request.
+//! The daemon's life: owns the start, the wiring and the end of the program; it must never touch a request.
 
-mod node;
-
-use node::config::{self, Config};
-use node::discovery::{Ask, Discovery};
-use node::engine::Engine;
-use node::front::{Front, Phase};
-use node::siblings;
-use node::upstream::UpstreamGroup;
+use crate::ask::Ask;
+use crate::config::{self, Config};
+use crate::discovery::Discovery;
+use crate::engine::Engine;
+use crate::front::{Front, Phase};
+use crate::siblings;
+use crate::upstream::UpstreamGroup;
 use std::error::Error;
-use std::process::ExitCode;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -28,24 +25,8 @@
 /// Nothing must be owed for this long before the program ends; the last answers leave the socket meanwhile.
 const QUIET: Duration = Duration::from_millis(100);
 
-fn main() -> ExitCode {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
-    // One core is all there is: one thread, and no locks ever waited for.
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let ended = match runtime {
-        Ok(runtime) => runtime.block_on(run()),
-        Err(error) => Err(error.into()),
-    };
-    match ended {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            log::error!("{error}");
-            ExitCode::FAILURE
-        }
-    }
-}
-
-async fn run() -> Result<(), Box<dyn Error>> {
+/// Runs the daemon in the foreground until it is told to end and nothing is owed.
+pub async fn run() -> Result<(), Box<dyn Error>> {
     let config = config::load()?;
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
--- a/src/node/siblings.rs
+++ b/crates/vetchbridge/src/siblings.rs
@@ -1,8 +1,8 @@
 //! Datagrams between the schedulers of one tier. Owns the UDP socket; carries the module's messages as they
 //! are, drops what is too long or comes from a stranger, and must never answer or repeat anything itself.
 
-use super::config::Siblings;
-use super::engine::Engine;
+use crate::config::Siblings;
+use crate::engine::Engine;
 use silverproxy::interface::{Event, Peer};
 use std::io;
 use std::sync::Arc;
--- a/src/bin/silverproxy-adapter.rs
+++ b/crates/wirehost/src/main.rs
@@ -2,12 +2,14 @@
 //!
 //! Each instance owns its policy and nothing else; no decision is made here.
 
+mod wire;
+
 use silverproxy::interface::{Action, SettingsError};
 use silverproxy::policy::Policy;
-use silverproxy::wire::{print_actions, Message, Reader, WireError};
 use std::collections::BTreeMap;
 use std::io::{self, BufReader, Write};
 use std::process::ExitCode;
+use wire::{print_actions, Message, Reader, WireError};
 
 fn main() -> ExitCode {
     match run() {
--- a/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -3,9 +3,8 @@
 //! Nothing is decided here. Unknown messages, fields and settings are skipped; a known message that is
 //! malformed is a [`WireError`] naming the line and the field.
 
-use crate::interface::*;
 use base64::{engine::general_purpose::STANDARD, Engine as _};
-use serde_json::{Map, Value};
+use silverproxy::interface::*;
 use std::io::{BufRead, Write};
 
 /// What was wrong with the input.
@@ -52,11 +51,6 @@
 /// What a field lacks, before the line is known.
 struct Fault(String, String);
 
-/// Reads the settings object on its own, for a dispatcher that finds it in its configuration. Line 0.
-pub fn settings(json: &str) -> Result<Settings, WireError> {
-    parse_settings(json).map_err(|Fault(field, reason)| WireError { line: 0, field, reason })
-}
-
 fn fault<T>(field: &str, reason: impl Into<String>) -> Result<T, Fault> {
     Err(Fault(field.to_string(), reason.into()))
 }
@@ -235,7 +229,11 @@
                 None => return fault("setup", "missing"),
             };
             let seed = Fields(head.trim_end()).number("nonce64")?;
-            return Ok(Parsed::Message(Message::Open { seed, settings: Box::new(parse_settings(json)?) }));
+            let settings = match silverproxy_settings::from_json(json) {
+                Ok(settings) => Box::new(settings),
+                Err(error) => return fault(&error.key_under("setup"), error.reason),
+            };
+            return Ok(Parsed::Message(Message::Open { seed, settings }));
         }
         "down" => return Ok(Parsed::Message(Message::Down)),
         "topology" => {
@@ -336,196 +334,6 @@
     })
 }
 
-/// A JSON object with the path that led to it, for error messages.
-struct Object<'a>(&'a Map<String, Value>, &'a str);
-
-impl<'a> Object<'a> {
-    fn get(&self, name: &str) -> Result<&'a Value, Fault> {
-        self.0.get(name).map_or_else(|| fault(&format!("setup.{}{name}", self.1), "missing"), Ok)
-    }
-
-    fn bad<T>(&self, name: &str) -> Result<T, Fault> {
-        fault(&format!("setup.{}{name}", self.1), "unreadable")
-    }
-
-    fn object(&self, name: &str, path: &'a str) -> Result<Object<'a>, Fault> {
-        self.get(name)?.as_object().map_or_else(|| self.bad(name), |map| Ok(Object(map, path)))
-    }
-
-    fn list(&self, name: &str) -> Result<&'a [Value], Fault> {
-        self.get(name)?.as_array().map_or_else(|| self.bad(name), |list| Ok(list.as_slice()))
-    }
-
-    fn float(&self, name: &str) -> Result<f64, Fault> {
-        self.get(name)?.as_f64().map_or_else(|| self.bad(name), Ok)
-    }
-
-    fn float_or(&self, name: &str, default: f64) -> Result<f64, Fault> {
-        if self.0.contains_key(name) {
-            self.float(name)
-        } else {
-            Ok(default)
-        }
-    }
-
-    fn int(&self, name: &str) -> Result<u64, Fault> {
-        let value = self.get(name)?;
-        value
-            .as_u64()
-            .or_else(|| value.as_f64().filter(|f| *f >= 0.0).map(|f| f as u64))
-            .map_or_else(|| self.bad(name), Ok)
-    }
-
-    fn small(&self, name: &str) -> Result<u32, Fault> {
-        u32::try_from(self.int(name)?).or_else(|_| self.bad(name))
-    }
-
-    fn int_or(&self, name: &str, default: u64) -> Result<u64, Fault> {
-        if self.0.contains_key(name) {
-            self.int(name)
-        } else {
-            Ok(default)
-        }
-    }
-
-    fn flag_or(&self, name: &str, default: bool) -> Result<bool, Fault> {
-        match self.0.get(name) {
-            None => Ok(default),
-            Some(value) => value.as_bool().map_or_else(|| self.bad(name), Ok),
-        }
-    }
-
-    fn word(&self, name: &str) -> Result<&'a str, Fault> {
-        self.get(name)?.as_str().map_or_else(|| self.bad(name), Ok)
-    }
-}
-
-/// Translates the settings of `open_instance`.
-fn parse_settings(json: &str) -> Result<Settings, Fault> {
-    let root: Value = match serde_json::from_str(json) {
-        Ok(value) => value,
-        Err(e) => return fault("setup", format!("not JSON: {e}")),
-    };
-    let Some(map) = root.as_object() else {
-        return fault("setup", "not an object");
-    };
-    let root = Object(map, "");
-    let limits = root.object("limits", "limits.")?;
-    let rules = root.object("rules", "rules.")?;
-    let empty = Map::new();
-    let facts = match root.0.get("specifics").and_then(Value::as_object) {
-        Some(map) => Object(map, "specifics."),
-        None => Object(&empty, "specifics."),
-    };
-    let prices = match root.0.get("charges").and_then(Value::as_object) {
-        Some(map) => Object(map, "charges."),
-        None => Object(&empty, "charges."),
-    };
-    let per_class = |name: &str, index: usize| -> Option<f64> {
-        facts.0.get(name).and_then(Value::as_array).and_then(|list| list.get(index)).and_then(Value::as_f64)
-    };
-    let mut classes = Vec::new();
-    for (index, value) in root.list("services")?.iter().enumerate() {
-        let Some(map) = value.as_object() else {
-            return fault("setup.services", "unreadable");
-        };
-        let class = Object(map, "services[].");
-        let group = match class.0.get("group").and_then(Value::as_str) {
-            None | Some("all") => RepeatGroup::All,
-            Some("zone") => RepeatGroup::Zone,
-            Some("cell") => RepeatGroup::Cell,
-            Some(_) => return class.bad("group"),
-        };
-        let effect = match class.word("repeat")? {
-            "safe" => Effect::Safe,
-            "keyed" => Effect::Keyed { group, window: class.int("window")? },
-            "unsafe" => Effect::Unsafe,
-            _ => return class.bad("repeat"),
-        };
-        classes.push(Class {
-            aim: class.int("aim")?,
-            stretch: per_class("class_stretch", index).unwrap_or(class.float_or("aim_stretch", 0.0)?),
-            deadline: class.int("deadline")?,
-            worth: class.float_or("importance", 1.0)?,
-            late_share: class.float_or("late_share", 0.0)?,
-            effect,
-            kind: per_class("class_kind", index).filter(|k| *k >= 0.0).map(|k| KindId(k as u32)),
-            priority: per_class("class_priority", index).map_or(0, |p| p as i64),
-            stream: class.flag_or("stream", false)?,
-        });
-    }
-    let mut tenants = Vec::new();
-    if root.0.contains_key("accounts") {
-        for value in root.list("accounts")? {
-            let Some(map) = value.as_object() else {
-                return fault("setup.accounts", "unreadable");
-            };
-            let tenant = Object(map, "accounts[].");
-            tenants.push(Tenant { allowance_per_s: tenant.float("allowance_per_s")? });
-        }
-    }
-    let via = root.0.get("stats").and_then(|stats| stats.get("via")).and_then(Value::as_str);
-    Ok(Settings {
-        me: root.small("me")?,
-        dispatchers: root.small("balancers")?,
-        zone: ZoneId(root.small("zone")?),
-        classes,
-        tenants,
-        over_share_worth: root.float_or("over_share_worth", 1.0)?,
-        worth_by_work: root.0.get("counted_by").and_then(Value::as_str) == Some("work"),
-        discovery: match root.word("discovery")? {
-            "push" => Discovery::Push,
-            "ask" => Discovery::Ask,
-            _ => return root.bad("discovery"),
-        },
-        report_via: match via {
-            Some("inline") => ReportVia::Answers,
-            Some("on_probe") => ReportVia::Probes,
-            None | Some("off") => ReportVia::Never,
-            Some(_) => return fault("setup.stats.via", "unreadable"),
-        },
-        weights: match root.0.get("weights").and_then(Value::as_str) {
-            None | Some("off") => Weights::Fixed,
-            Some("nominal" | "rough") => Weights::Size,
-            Some("live") => Weights::Live,
-            Some(_) => return root.bad("weights"),
-        },
-        queue_order: match facts.0.get("queue_order").and_then(Value::as_str) {
-            Some("backfill") => QueueOrder::Backfill,
-            Some("priority") => QueueOrder::Priority,
-            _ => QueueOrder::Fifo,
-        },
-        tells_start: facts.flag_or("tells_start", false)?,
-        progress_every: facts.int_or("progress", 0)?,
-        limits: Limits {
-            max_attempts: limits.small("max_attempts")?,
-            dial_timeout: limits.int_or("dial_timeout", 0)?,
-            second_copies: limits.flag_or("second_copies", false)?,
-            may_probe: limits.flag_or("may_probe", false)?,
-            may_cancel: limits.flag_or("may_cancel", false)?,
-            retry_after: limits.flag_or("retry_after", false)?,
-            max_retry_after: limits.int_or("max_retry_after", 0)?,
-            may_message_peers: limits.flag_or("peers", false)?,
-        },
-        rules: Rules {
-            answer_slack: rules.int_or("answer_slack", 0)?,
-            drain_grace: rules.int("stop_sending_within")?,
-            ask_within: rules.0.get("ask_within").map(|_| rules.int("ask_within")).transpose()?,
-            cold_share: rules.float("start_capacity")?,
-            cold_time: rules.int("cold")?,
-            fall_multiple: rules.float("tip_multiple")?,
-            fall_time: rules.int("fall")?,
-        },
-        prices: Prices {
-            cross_zone: prices.float_or("cross_zone", 0.0)?,
-            probe: prices.float_or("probe", 0.0)?,
-            waste: prices.float_or("waste", 0.0)?,
-            handshake: prices.float_or("handshake", 0.0)?,
-        },
-        tick: root.int_or("tick", 0)?,
-    })
-}
-
 struct Worker(WorkerId);
 
 impl std::fmt::Display for Worker {
