Add stand-ins for the whole platform on loopback sockets and an account of both sides

Need: tests spoke peers and discovery by hand in one file, and nothing could hold what clients heard against what peers ran. Change: crates/platform, written from the protocol and sharing no type with the daemon: discovery with watches, lateness, outages and moves; peers with slots, queue, speed, cold start, key-based drop of repeats and a script of misdeeds; a front that notices the dead late; clients with a seeded open loop whose draws have a stream for each concern; an account that finds six kinds of broken rule and is broken once for each in its test. The scripted connections of the daemon's stories move to it.

--- /dev/null
+++ b/crates/platform/src/account.rs
@@ -0,0 +1,275 @@
+//! The account: whether each try had exactly one final answer, from both sides: what clients heard against what peers ran.
+//!
+//! Pure. It must never excuse anything by itself: whoever killed a scheduler says when.
+
+use crate::arrivals::{ClassLoad, Repeat};
+use crate::client::{JobRecord, Outcome, Try};
+use crate::runs::{result, Run, RunEnd};
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::fmt;
+use std::time::Duration;
+
+/// A rule that was broken.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[non_exhaustive]
+pub enum Violation {
+    /// A try that was taken heard nothing before its client gave up.
+    Unanswered(u64),
+    /// A try's connection ended without an answer while no scheduler was down.
+    Lost(u64),
+    /// A try was served with what no peer made for it.
+    Foreign(u64),
+    /// A keyed job ran to its end twice, or began again after peers had forgotten it.
+    KeyedTwice(String),
+    /// A job that must not be repeated ran again.
+    UnsafeTwice(u64),
+    /// Peers ran something that no client sent.
+    Unasked(u64),
+}
+
+impl fmt::Display for Violation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Violation::Unanswered(id) => write!(f, "{id:016x} was never answered"),
+            Violation::Lost(id) => write!(f, "{id:016x} lost its connection while no scheduler was down"),
+            Violation::Foreign(id) => write!(f, "{id:016x} was served with what no peer made for it"),
+            Violation::KeyedTwice(key) => write!(f, "the keyed job {key} ran twice"),
+            Violation::UnsafeTwice(id) => write!(f, "{id:016x} must not run twice and did"),
+            Violation::Unasked(id) => write!(f, "{id:016x} was run and never sent"),
+        }
+    }
+}
+
+/// A time in which a scheduler was down or about to be noticed as down: tries that were open then may be lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Outage {
+    /// From its death ...
+    pub from: Duration,
+    /// ... until clients were no longer sent there.
+    pub until: Duration,
+}
+
+/// Answers by kind.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize)]
+pub struct Answers {
+    /// Served.
+    pub served: u64,
+    /// Refused.
+    pub refused: u64,
+    /// Failed.
+    pub failed: u64,
+    /// Lost with a scheduler.
+    pub lost: u64,
+    /// None at all.
+    pub none: u64,
+}
+
+/// What the account found.
+#[derive(Debug, Default)]
+pub struct Verdict {
+    /// Answers to tries.
+    pub answers: Answers,
+    /// Runs at peers.
+    pub runs: u64,
+    /// Broken rules, sorted.
+    pub violations: Vec<Violation>,
+    /// The share of jobs that ran at the peer that ran most of their object's jobs, over objects with two or more.
+    pub affinity: f64,
+    /// Worth answered in time over worth asked for.
+    pub service: f64,
+}
+
+/// Holds the two sides against each other.
+pub fn judge(classes: &[ClassLoad], jobs: &[JobRecord], runs: &[Run], outages: &[Outage]) -> Verdict {
+    let mut verdict = Verdict { runs: runs.len() as u64, ..Verdict::default() };
+    let mut violations = Vec::new();
+    let mut sent: HashMap<u64, &JobRecord> = HashMap::new();
+    let excused = |one: &Try| outages.iter().any(|o| one.sent < o.until && one.ended >= o.from);
+    let (mut asked, mut earned) = (0.0, 0.0);
+    for job in jobs {
+        let class = &classes[job.arrival.class];
+        let worth = class.worth * job.arrival.work.as_secs_f64();
+        asked += worth;
+        let aim = class.aim + job.arrival.work.mul_f64(class.stretch);
+        if job.served() && job.latency() <= aim {
+            earned += worth;
+        }
+        for one in &job.tries {
+            sent.insert(one.id, job);
+            match &one.outcome {
+                Outcome::Served(made) => {
+                    verdict.answers.served += 1;
+                    if !made_for(made, one.id, job, runs) {
+                        violations.push(Violation::Foreign(one.id));
+                    }
+                }
+                Outcome::Refused => verdict.answers.refused += 1,
+                Outcome::Failed(_) => verdict.answers.failed += 1,
+                Outcome::Broken(_) if excused(one) => verdict.answers.lost += 1,
+                Outcome::Broken(_) => {
+                    verdict.answers.lost += 1;
+                    violations.push(Violation::Lost(one.id));
+                }
+                Outcome::Unanswered => {
+                    verdict.answers.none += 1;
+                    if !excused(one) {
+                        violations.push(Violation::Unanswered(one.id));
+                    }
+                }
+            }
+        }
+    }
+    let mut by_key: BTreeMap<&str, Vec<&Run>> = BTreeMap::new();
+    let (mut begun, mut objects) = (HashSet::new(), BTreeMap::<&str, BTreeMap<&str, u64>>::new());
+    for run in runs {
+        let Some(job) = sent.get(&run.id) else {
+            violations.push(Violation::Unasked(run.id));
+            continue;
+        };
+        *objects.entry(&run.object).or_default().entry(&run.peer).or_default() += 1;
+        let again = !begun.insert(run.id);
+        match classes[job.arrival.class].repeat {
+            Repeat::Unsafe if again => violations.push(Violation::UnsafeTwice(run.id)),
+            Repeat::Keyed(_) => by_key.entry(run.key.as_deref().unwrap_or_default()).or_default().push(run),
+            Repeat::Safe | Repeat::Unsafe => {}
+        }
+    }
+    for (key, of_key) in by_key {
+        let window = sent.get(&of_key[0].id).map(|job| classes[job.arrival.class].repeat);
+        let Some(Repeat::Keyed(window)) = window else { continue };
+        let finished = of_key.iter().filter(|run| run.end == RunEnd::Finished).count();
+        let first = of_key.iter().map(|run| run.started).min().unwrap_or_default();
+        if finished > 1 || of_key.iter().any(|run| run.started.saturating_sub(first) >= window) {
+            violations.push(Violation::KeyedTwice(key.to_string()));
+        }
+    }
+    let repeated = objects.values().filter(|peers| peers.values().sum::<u64>() > 1);
+    let (most, all) = repeated.fold((0, 0), |(most, all), peers| {
+        (most + peers.values().max().unwrap_or(&0), all + peers.values().sum::<u64>())
+    });
+    verdict.affinity = if all == 0 { 1.0 } else { most as f64 / all as f64 };
+    verdict.service = if asked > 0.0 { earned / asked } else { 1.0 };
+    violations.sort();
+    violations.dedup();
+    verdict.violations = violations;
+    verdict
+}
+
+/// Whether a result comes from a run that finished, of this try or of its key.
+fn made_for(made: &str, id: u64, job: &JobRecord, runs: &[Run]) -> bool {
+    let number = made.split_once(':').and_then(|(_, number)| number.parse::<usize>().ok());
+    let Some((number, run)) = number.and_then(|number| Some((number, runs.get(number)?))) else {
+        return false;
+    };
+    let same = run.id == id || (run.key.is_some() && run.key == job.key);
+    same && run.end == RunEnd::Finished && made == result(run.id, number)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::arrivals::Arrival;
+
+    const WINDOW: Duration = Duration::from_secs(15);
+
+    /// A sound day: one class of each kind, a job of each served by its one run.
+    fn day() -> (Vec<ClassLoad>, Vec<JobRecord>, Vec<Run>) {
+        let class = |name: &str, repeat| ClassLoad {
+            name: name.to_string(),
+            share: 1.0,
+            worth: 1.0,
+            work: Duration::from_secs(1),
+            spread: 0.0,
+            aim: Duration::from_secs(1),
+            stretch: 0.0,
+            deadline: Duration::from_secs(5),
+            repeat,
+            objects: 1,
+            zipf: 0.0,
+        };
+        let classes = vec![
+            class("safe", Repeat::Safe),
+            class("keyed", Repeat::Keyed(WINDOW)),
+            class("unsafe", Repeat::Unsafe),
+        ];
+        let key = |n: usize| (n == 1).then(|| "k".to_string());
+        let jobs = (0..3).map(|n| JobRecord {
+            arrival: Arrival {
+                at: Duration::ZERO,
+                job: n as u64,
+                class: n,
+                object: format!("o{n}"),
+                work: Duration::from_secs(1),
+                salt: n as u64,
+            },
+            key: key(n),
+            tries: vec![Try {
+                id: n as u64,
+                sent: Duration::ZERO,
+                ended: Duration::from_secs(1),
+                outcome: Outcome::Served(result(n as u64, n)),
+            }],
+        });
+        let runs = (0..3).map(|n| Run {
+            id: n as u64,
+            key: key(n),
+            class: classes[n].name.clone(),
+            object: format!("o{n}"),
+            peer: "s-0".to_string(),
+            started: Duration::ZERO,
+            end: RunEnd::Finished,
+        });
+        let (jobs, runs) = (jobs.collect(), runs.collect());
+        (classes, jobs, runs)
+    }
+
+    type Break = fn(&mut Vec<JobRecord>, &mut Vec<Run>);
+
+    /// A check that can't fail is none: each rule, broken once, is named; the sound day names none.
+    #[test]
+    fn each_broken_rule_is_found_and_a_sound_day_has_none() {
+        let cases: [(Break, Option<Violation>); 11] = [
+            (|_, _| {}, None),
+            (|jobs, _| jobs[0].tries[0].outcome = Outcome::Unanswered, Some(Violation::Unanswered(0))),
+            (|jobs, _| jobs[0].tries[0].outcome = Outcome::Broken(String::new()), Some(Violation::Lost(0))),
+            (
+                |jobs, _| jobs[0].tries[0].outcome = Outcome::Served("made up".to_string()),
+                Some(Violation::Foreign(0)),
+            ),
+            (|jobs, _| jobs[0].tries[0].outcome = Outcome::Served(result(2, 2)), Some(Violation::Foreign(0))),
+            (|_, runs| runs[0].end = RunEnd::Lost, Some(Violation::Foreign(0))),
+            (|_, runs| runs.push(runs[1].clone()), Some(Violation::KeyedTwice("k".to_string()))),
+            (
+                |_, runs| {
+                    runs.push(Run { started: WINDOW, end: RunEnd::Lost, ..runs[1].clone() });
+                },
+                Some(Violation::KeyedTwice("k".to_string())),
+            ),
+            (
+                |_, runs| {
+                    // It broke off and began again in time: that is what the window is for.
+                    runs.push(Run { end: RunEnd::Lost, ..runs[1].clone() });
+                },
+                None,
+            ),
+            (|_, runs| runs.push(runs[2].clone()), Some(Violation::UnsafeTwice(2))),
+            (|_, runs| runs.push(Run { id: 9, ..runs[0].clone() }), Some(Violation::Unasked(9))),
+        ];
+        for (number, (spoil, expected)) in cases.into_iter().enumerate() {
+            let (classes, mut jobs, mut runs) = day();
+            spoil(&mut jobs, &mut runs);
+            let found = judge(&classes, &jobs, &runs, &[]).violations;
+            assert_eq!(found, expected.into_iter().collect::<Vec<_>>(), "case {number}");
+        }
+    }
+
+    #[test]
+    fn only_a_try_that_was_open_in_an_outage_may_be_lost() {
+        let (classes, mut jobs, runs) = day();
+        jobs[0].tries[0].outcome = Outcome::Broken(String::new());
+        let outage =
+            |from, until| Outage { from: Duration::from_millis(from), until: Duration::from_millis(until) };
+        let found = |outage| judge(&classes, &jobs, &runs, &[outage]).violations.len();
+        assert_eq!((found(outage(500, 900)), found(outage(1_001, 2_000))), (0, 1));
+    }
+}
--- /dev/null
+++ b/crates/platform/src/arrivals.rs
@@ -0,0 +1,219 @@
+//! The load: which job arrives when. Pure and seeded, with a random stream of its own for each concern, so that one
+//! more draw in one never moves another.
+
+use rand::{Rng, RngExt};
+use rand_distr::{Distribution, Exp, LogNormal, Zipf};
+use rand_pcg::Pcg64;
+use std::time::Duration;
+
+/// What repeating a job of a class does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Repeat {
+    /// It may run any number of times.
+    Safe,
+    /// Peers drop a repeat within this time.
+    Keyed(Duration),
+    /// It must never run twice.
+    Unsafe,
+}
+
+/// One class of jobs as clients send them.
+#[derive(Clone, Debug)]
+pub struct ClassLoad {
+    /// Its name, the first part of the path.
+    pub name: String,
+    /// Its share of the jobs, against the others' shares.
+    pub share: f64,
+    /// The worth of a job answered in time.
+    pub worth: f64,
+    /// The mean of its work.
+    pub work: Duration,
+    /// How widely work varies: the sigma of a log-normal distribution.
+    pub spread: f64,
+    /// An answer is in time within this ...
+    pub aim: Duration,
+    /// ... and so many times its work.
+    pub stretch: f64,
+    /// When a client gives up.
+    pub deadline: Duration,
+    /// What a repeat does.
+    pub repeat: Repeat,
+    /// How many objects jobs are about.
+    pub objects: u64,
+    /// How unevenly they are asked for: the exponent of a Zipf distribution.
+    pub zipf: f64,
+}
+
+/// A load: an open loop of independent arrivals.
+#[derive(Clone, Debug)]
+pub struct LoadSpec {
+    /// The seed of every draw.
+    pub seed: u64,
+    /// Jobs a second.
+    pub rate: f64,
+    /// The classes.
+    pub classes: Vec<ClassLoad>,
+    /// How often a client comes back after a refusal or a failure.
+    pub retries: u32,
+    /// How long it waits where nothing else is said.
+    pub pause: Duration,
+}
+
+/// A load that can't be drawn.
+#[derive(Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{key}: {reason}")]
+pub struct LoadError {
+    /// The field at fault.
+    pub key: String,
+    /// What is wrong with it.
+    pub reason: String,
+}
+
+/// One job as it arrives.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Arrival {
+    /// When, from the start.
+    pub at: Duration,
+    /// Its number, from 0.
+    pub job: u64,
+    /// Its class, as an index.
+    pub class: usize,
+    /// What it is about.
+    pub object: String,
+    /// Its work at speed 1.
+    pub work: Duration,
+    /// Whence its ids are drawn.
+    pub salt: u64,
+}
+
+struct ClassDraw {
+    upto: f64,
+    work: LogNormal<f64>,
+    object: Zipf<f64>,
+}
+
+/// Draws arrivals without end.
+pub struct Arrivals {
+    gap: Exp<f64>,
+    classes: Vec<ClassDraw>,
+    names: Vec<String>,
+    time: Duration,
+    job: u64,
+    streams: [Pcg64; 5],
+}
+
+impl Arrivals {
+    /// The arrivals of a load; the same for the same specification.
+    pub fn new(spec: &LoadSpec) -> Result<Arrivals, LoadError> {
+        let bad = |key: &str, reason: &str| LoadError { key: key.to_string(), reason: reason.to_string() };
+        if spec.classes.is_empty() {
+            return Err(bad("classes", "there is none"));
+        }
+        if !(spec.rate.is_finite() && spec.rate > 0.0) {
+            return Err(bad("rate", "must be above 0"));
+        }
+        let gap = Exp::new(spec.rate).map_err(|error| bad("rate", &error.to_string()))?;
+        let total: f64 = spec.classes.iter().map(|class| class.share).sum();
+        if !(total.is_finite() && total > 0.0) || spec.classes.iter().any(|class| class.share < 0.0) {
+            return Err(bad("share", "shares must not be negative, nor all 0"));
+        }
+        let (mut upto, mut classes) = (0.0, Vec::new());
+        for class in &spec.classes {
+            upto += class.share / total;
+            if !(class.spread >= 0.0 && class.spread.is_finite()) {
+                return Err(bad(&format!("{}.spread", class.name), "must not be negative"));
+            }
+            // The mean of a log-normal is exp(mu + sigma^2 / 2).
+            let mu = class.work.as_secs_f64().max(1e-6).ln() - class.spread * class.spread / 2.0;
+            let work = LogNormal::new(mu, class.spread)
+                .map_err(|error| bad(&format!("{}.spread", class.name), &error.to_string()))?;
+            let object = Zipf::new(class.objects.max(1) as f64, class.zipf)
+                .map_err(|error| bad(&format!("{}.zipf", class.name), &error.to_string()))?;
+            classes.push(ClassDraw { upto, work, object });
+        }
+        let streams = std::array::from_fn(|stream| Pcg64::new(u128::from(spec.seed), stream as u128 + 1));
+        let names = spec.classes.iter().map(|class| class.name.clone()).collect();
+        Ok(Arrivals { gap, classes, names, time: Duration::ZERO, job: 0, streams })
+    }
+}
+
+impl Iterator for Arrivals {
+    type Item = Arrival;
+
+    fn next(&mut self) -> Option<Arrival> {
+        let [gaps, kinds, works, objects, salts] = &mut self.streams;
+        self.time += Duration::from_secs_f64(self.gap.sample(gaps));
+        let drawn: f64 = kinds.random();
+        let class =
+            self.classes.iter().position(|class| drawn < class.upto).unwrap_or(self.classes.len() - 1);
+        let draw = &self.classes[class];
+        let work = Duration::from_secs_f64(draw.work.sample(works).min(600.0));
+        let object = format!("{}-{}", self.names[class], draw.object.sample(objects) as u64);
+        let job = self.job;
+        self.job += 1;
+        Some(Arrival { at: self.time, job, class, object, work, salt: salts.next_u64() })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn spec() -> LoadSpec {
+        let class = |name: &str, share, work| ClassLoad {
+            name: name.to_string(),
+            share,
+            worth: 1.0,
+            work: Duration::from_millis(work),
+            spread: 0.5,
+            aim: Duration::from_millis(200),
+            stretch: 2.0,
+            deadline: Duration::from_secs(5),
+            repeat: Repeat::Safe,
+            objects: 100,
+            zipf: 1.0,
+        };
+        let classes = vec![class("a", 3.0, 200), class("b", 1.0, 800)];
+        LoadSpec { seed: 7, rate: 50.0, classes, retries: 0, pause: Duration::ZERO }
+    }
+
+    #[test]
+    fn a_load_is_what_it_says_and_the_same_for_the_same_seed() {
+        let drawn: Vec<Arrival> = Arrivals::new(&spec()).expect("a load").take(20_000).collect();
+        assert_eq!(drawn, Arrivals::new(&spec()).expect("a load").take(20_000).collect::<Vec<_>>());
+        let rate = 20_000.0 / drawn[19_999].at.as_secs_f64();
+        assert!((48.0..52.0).contains(&rate), "{rate}");
+        let of_b: Vec<f64> = drawn.iter().filter(|a| a.class == 1).map(|a| a.work.as_secs_f64()).collect();
+        assert!((0.24..0.26).contains(&(of_b.len() as f64 / 20_000.0)), "{}", of_b.len());
+        let mean = of_b.iter().sum::<f64>() / of_b.len() as f64;
+        assert!((0.77..0.83).contains(&mean), "{mean}");
+        let hot = drawn.iter().filter(|a| a.object == "a-1").count() as f64 / 15_000.0;
+        assert!((0.17..0.22).contains(&hot), "the first of 100 by Zipf has 1/H(100) = 0.19: {hot}");
+    }
+
+    #[test]
+    fn one_concern_more_or_less_leaves_the_others_draws_alone() {
+        let mut other = spec();
+        other.classes[0].spread = 0.1;
+        other.classes[0].zipf = 0.5;
+        let times = |spec: &LoadSpec| {
+            Arrivals::new(spec).expect("a load").take(500).map(|a| (a.at, a.class)).collect::<Vec<_>>()
+        };
+        assert_eq!(times(&spec()), times(&other));
+    }
+
+    #[test]
+    fn a_load_that_makes_no_sense_names_its_field() {
+        let with = |change: fn(&mut LoadSpec)| {
+            let mut spec = spec();
+            change(&mut spec);
+            Arrivals::new(&spec).err().map(|error| error.key)
+        };
+        assert_eq!(with(|s| s.rate = 0.0).as_deref(), Some("rate"));
+        assert_eq!(with(|s| s.rate = f64::NAN).as_deref(), Some("rate"));
+        assert_eq!(with(|s| s.classes.clear()).as_deref(), Some("classes"));
+        assert_eq!(with(|s| s.classes[0].share = -1.0).as_deref(), Some("share"));
+        assert_eq!(with(|s| s.classes[1].spread = -1.0).as_deref(), Some("b.spread"));
+        assert_eq!(with(|s| s.classes[1].zipf = -1.0).as_deref(), Some("b.zipf"));
+    }
+}
--- /dev/null
+++ b/crates/platform/tests/stories.rs
@@ -0,0 +1,218 @@
+//! The stand-ins by themselves: each does on sockets what it is told to, so that a story about a scheduler can lean
+//! on it.
+#![allow(missing_docs)]
+
+use platform::discovery::{Discovery, Health};
+use platform::front::Front;
+use platform::peer::{Act, Peer, PeerSpec};
+use platform::runs::{result, RunEnd, Runs};
+use platform::wire::{Message, Wire};
+use rstest::rstest;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::net::TcpListener;
+
+const HANG: Duration = Duration::from_secs(60);
+
+/// A scheduler that a story speaks for, and one peer that calls it back.
+struct Stage {
+    callbacks: TcpListener,
+    peer: Peer,
+    runs: Runs,
+}
+
+impl Stage {
+    async fn set(spec: PeerSpec) -> Stage {
+        let callbacks = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let runs = Runs::default();
+        let to = callbacks.local_addr().expect("bound");
+        let peer = Peer::start(spec, runs.clone(), &[to]).await.expect("a peer");
+        Stage { callbacks, peer, runs }
+    }
+
+    fn address(&self) -> SocketAddr {
+        self.peer.addresses()[0]
+    }
+
+    async fn send(&self, id: u64, headers: &str, body: &str) -> Wire {
+        let mut wire = Wire::dial(self.address()).await.expect("it listens");
+        wire.post("/c/k", &format!("x-trace-id: {id:016x}\r\n{headers}"), body).await.expect("sent");
+        wire
+    }
+
+    /// The next callback, answered.
+    async fn told(&self) -> Message {
+        let (stream, _) = self.callbacks.accept().await.expect("a callback");
+        let mut wire = Wire::new(stream);
+        let call = wire.read().await.expect("a call");
+        wire.answer(200, "connection: close\r\n", "").await.expect("answered");
+        call
+    }
+
+    async fn told_state(&self) -> String {
+        let call: serde_json::Value = serde_json::from_slice(&self.told().await.body).expect("JSON");
+        call["state"].as_str().expect("a state").to_string()
+    }
+}
+
+#[rstest]
+#[timeout(HANG)]
+#[tokio::test]
+async fn a_peer_runs_a_job_and_tells_its_result_until_it_is_heard() {
+    let stage = Stage::set(PeerSpec::new("s-0")).await;
+    let mut wire = stage.send(0xab, "", "").await;
+    assert_eq!(wire.read().await.expect("an answer").status(), "202");
+    // The first telling goes unheard.
+    drop(stage.callbacks.accept().await.expect("a callback"));
+    assert_eq!(stage.told_state().await, "started");
+    let done: serde_json::Value = serde_json::from_slice(&stage.told().await.body).expect("JSON");
+    assert_eq!((done["state"].as_str(), done["result"].as_str()), (Some("done"), Some(&*result(0xab, 0))));
+    assert_eq!(stage.runs.all()[0].end, RunEnd::Finished);
+}
+
+#[rstest]
+#[case::refuse(Act::Answer { status: 503, never_ran: true }, Some("503"), &[])]
+#[case::mute(Act::Mute, None, &[])]
+#[case::cut_in_body(Act::CutInBody, None, &[])]
+#[case::cut(Act::CutBeforeAnswer, None, &[])]
+#[case::half(Act::HalfAnswer, None, &[])]
+#[case::lose(Act::Lose, Some("202"), &["started", "lost"])]
+#[case::fail(Act::Fail, Some("202"), &["started", "failed"])]
+#[case::hand_back(Act::HandBack, Some("202"), &["returned"])]
+#[case::repeat(Act::Repeat(3), Some("202"), &["started", "done", "done", "done"])]
+#[timeout(HANG)]
+#[tokio::test]
+async fn a_peer_misbehaves_once_as_it_is_told(
+    #[case] act: Act,
+    #[case] answer: Option<&str>,
+    #[case] words: &[&str],
+) {
+    let stage = Stage::set(PeerSpec::new("s-0")).await;
+    let mute = act == Act::Mute;
+    stage.peer.next([act]);
+    let mut wire = stage.send(1, "", "").await;
+    if mute {
+        tokio::io::AsyncWriteExt::shutdown(wire.socket()).await.expect("closed");
+    }
+    assert_eq!(wire.read().await.as_ref().map(Message::status), answer);
+    for word in words {
+        assert_eq!(stage.told_state().await, *word);
+    }
+    let mut wire = stage.send(2, "", "").await;
+    assert_eq!(wire.read().await.expect("the next is served").status(), "202");
+}
+
+#[rstest]
+#[timeout(HANG)]
+#[tokio::test]
+async fn a_full_peer_turns_away_unseen_and_a_repeat_of_a_key_runs_once() {
+    let stage =
+        Stage::set(PeerSpec { slots: 1, queue: 1, progress: Duration::ZERO, ..PeerSpec::new("s-0") }).await;
+    let key = "idempotency-key: k\r\n";
+    // Longer than this story: it ends with its peer.
+    let mut running = stage.send(1, key, "work_us=600000000").await;
+    assert_eq!(running.read().await.expect("an answer").status(), "202");
+    assert_eq!(stage.told_state().await, "started");
+    let mut waiting = stage.send(2, key, "").await;
+    assert_eq!(waiting.read().await.expect("an answer").status(), "202");
+    let full = stage.send(3, "", "").await.read().await.expect("an answer");
+    assert_eq!((full.status(), full.header("x-never-ran")), ("503", Some("1")));
+    running.write("DELETE /jobs/0000000000000001 HTTP/1.1\r\n\r\n").await.expect("sent");
+    assert_eq!(running.read().await.expect("an answer").status(), "200");
+    // The run broke off, so the repeat that waited begins it again.
+    assert_eq!(stage.told_state().await, "started");
+    assert_eq!(stage.told_state().await, "done");
+    stage.send(4, key, "").await.read().await.expect("an answer");
+    assert_eq!(stage.told_state().await, "done");
+    assert_eq!(
+        stage.runs.all().iter().map(|run| run.end).collect::<Vec<_>>(),
+        [RunEnd::Stopped, RunEnd::Finished]
+    );
+}
+
+#[rstest]
+#[timeout(HANG)]
+#[tokio::test]
+async fn a_dead_peer_resets_refuses_and_comes_back_cold_at_its_port() {
+    let stage = Stage::set(PeerSpec { progress: Duration::ZERO, ..PeerSpec::new("s-0") }).await;
+    let mut wire = stage.send(1, "", "work_us=600000000").await;
+    assert_eq!(wire.read().await.expect("an answer").status(), "202");
+    assert_eq!(stage.told_state().await, "started");
+    stage.peer.kill(true).await;
+    assert_eq!(stage.told_state().await, "lost");
+    assert_eq!(stage.runs.all()[0].end, RunEnd::Lost);
+    assert!(wire.read().await.is_none());
+    assert!(Wire::dial(stage.address()).await.is_err());
+    stage.peer.restart().expect("the port is still its own");
+    assert!(stage.peer.started_at_ms() > 0);
+    assert_eq!(stage.send(2, "", "").await.read().await.expect("an answer").status(), "202");
+}
+
+#[rstest]
+#[timeout(HANG)]
+#[tokio::test]
+async fn discovery_tells_changes_by_version_and_fails_as_told() {
+    let discovery = Discovery::start(1).await.expect("a service");
+    let peer =
+        Peer::start(PeerSpec::new("s-0"), Runs::default(), &[discovery.address(0)]).await.expect("a peer");
+    let mut wire = Wire::dial(discovery.address(0)).await.expect("it listens");
+    let mut ask = async |target: &str| -> serde_json::Value {
+        wire.write(&format!("GET {target} HTTP/1.1\r\nhost: x\r\n\r\n")).await.expect("sent");
+        serde_json::from_slice(&wire.read().await.expect("an answer").body).unwrap_or_default()
+    };
+    let list = ask("/registry/instances").await;
+    assert_eq!((list["reset"].as_bool(), list["instances"].as_array().map(Vec::len)), (Some(true), Some(0)));
+    let watch = format!("/registry/instances?index={}&wait=60000", list["generation"]);
+    discovery.up(&peer);
+    let news = ask(&watch).await;
+    assert_eq!(news["reset"].as_bool(), Some(false));
+    assert_eq!(news["instances"][0]["hostPort"], peer.addresses()[0].to_string());
+    // A watch that waits is ended by an outage.
+    let watch = format!("/registry/instances?index={}&wait=60000", news["generation"]);
+    let (failed, ()) = tokio::join!(ask(&watch), async { discovery.health(Health::Failing) });
+    assert!(failed.is_null());
+    discovery.health(Health::Up);
+    discovery.remove(&peer);
+    assert_eq!(ask(&watch).await["instances"][0]["lifecycle"], "removed");
+    let old = discovery.address(0);
+    let new = discovery.move_away(0).expect("another port");
+    assert_ne!(old, new);
+    Wire::dial(new).await.expect("it listens there");
+}
+
+#[rstest]
+#[timeout(HANG)]
+#[tokio::test]
+async fn the_front_deals_to_whoever_is_ready_and_notices_late_that_one_has_gone() {
+    let scheduler = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let dead = platform::Port::reserve().expect("a port");
+    let notice = Duration::from_millis(300);
+    let front = Front::start(&[dead.address(), scheduler.local_addr().expect("bound")], notice)
+        .await
+        .expect("a front");
+    let serving = platform::Owned::spawn(async move {
+        loop {
+            let (stream, _) = scheduler.accept().await.expect("a connection");
+            tokio::spawn(async move {
+                let mut wire = Wire::new(stream);
+                while wire.read().await.is_some() {
+                    wire.answer(200, "", "ok").await.expect("answered");
+                }
+            });
+        }
+    });
+    while front.dealt_to() == 0 {
+        tokio::task::yield_now().await;
+    }
+    for _ in 0..3 {
+        let mut client = Wire::dial(front.address()).await.expect("it listens");
+        client.post("/c/k", "", "").await.expect("sent");
+        assert_eq!(client.read().await.expect("an answer").text(), "ok");
+    }
+    drop(serving);
+    while front.dealt_to() > 0 {
+        tokio::task::yield_now().await;
+    }
+    let mut client = Wire::dial(front.address()).await.expect("it listens");
+    assert!(client.read().await.is_none(), "nobody is left to deal to");
+}
--- a/crates/vetchbridge/tests/node.rs
+++ b/crates/vetchbridge/tests/node.rs
@@ -3,6 +3,7 @@
 #![allow(missing_docs)]
 
 use futures_util::future::select_all;
+use platform::wire::{Message, Wire};
 use rstest::rstest;
 use serde_json::{json, Value};
 use std::io::{BufRead, BufReader, Read};
@@ -10,8 +11,8 @@
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpSocket};
 
 /// A story that stands still fails; none of them measures time.
 const HANG: Duration = Duration::from_secs(60);
@@ -19,57 +20,40 @@
 const SOCKETS: u32 = 64;
 const ACCEPTED: &str = "HTTP/1.1 202 Accepted\r\ncontent-length: 0\r\n\r\n";
 
-/// One end of a connection, spoken by hand so that a script can break off anywhere.
-struct Wire(TcpStream);
-
-impl Wire {
-    async fn dial(address: SocketAddr) -> Wire {
-        Wire(TcpStream::connect(address).await.expect("the daemon listens"))
-    }
-
-    /// The next whole message, in lower case but for its body; `None` once the other side has closed.
-    async fn read(&mut self) -> Option<(String, String)> {
-        let mut head = Vec::new();
-        while !head.ends_with(b"\r\n\r\n") {
-            head.push(self.0.read_u8().await.ok()?);
-        }
-        let head = String::from_utf8(head).expect("text").to_lowercase();
-        let length = header(&head, "content-length").map_or(0, |length| length.parse().expect("a length"));
-        let mut body = vec![0; length];
-        self.0.read_exact(&mut body).await.ok()?;
-        Some((head, String::from_utf8(body).expect("text")))
-    }
+/// What a story needs of a connection beyond speaking.
+trait Speak {
+    async fn send(&mut self, text: &str);
+    async fn hand_in(&mut self, target: &str, headers: &str, body: &str);
+    /// A discovery call, by its target.
+    async fn asked(&mut self) -> String;
+    async fn list(&mut self, generation: u32, instances: Value);
+}
 
-    async fn write(&mut self, text: &str) {
-        self.0.write_all(text.as_bytes()).await.expect("the other side reads");
+impl Speak for Wire {
+    async fn send(&mut self, text: &str) {
+        self.write(text).await.expect("the other side reads");
     }
 
-    async fn post(&mut self, target: &str, headers: &str, body: &str) {
-        let length = body.len();
-        self.write(&format!(
-            "POST {target} HTTP/1.1\r\nhost: x\r\n{headers}content-length: {length}\r\n\r\n{body}"
-        ))
-        .await;
+    async fn hand_in(&mut self, target: &str, headers: &str, body: &str) {
+        self.post(target, headers, body).await.expect("the other side reads");
     }
 
-    /// A discovery call, by its target.
     async fn asked(&mut self) -> String {
-        let (head, _) = self.read().await.expect("a call");
-        head.split(' ').nth(1).expect("a target").to_string()
+        self.read().await.expect("a call").target().to_string()
     }
 
     async fn list(&mut self, generation: u32, instances: Value) {
         let body = json!({"generation": generation, "reset": true, "instances": instances}).to_string();
-        self.write(&format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{body}", body.len())).await;
+        self.answer(200, "", &body).await.expect("the other side reads");
     }
 }
 
-fn header<'a>(head: &'a str, name: &str) -> Option<&'a str> {
-    head.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(": "))
+async fn dial(address: SocketAddr) -> Wire {
+    Wire::dial(address).await.expect("the daemon listens")
 }
 
-fn status(answer: &Option<(String, String)>) -> &str {
-    answer.as_ref().expect("an answer").0.split(' ').nth(1).expect("a status")
+fn status(answer: &Option<Message>) -> &str {
+    answer.as_ref().expect("an answer").status()
 }
 
 fn instance(number: usize, address: SocketAddr, lifecycle: &str) -> Value {
@@ -154,26 +138,26 @@
     async fn peer(&self) -> (usize, Wire) {
         let accepts = self.peers.iter().map(|peer| Box::pin(peer.accept()));
         let (accepted, number, _) = select_all(accepts).await;
-        (number, Wire(accepted.expect("a connection").0))
+        (number, Wire::new(accepted.expect("a connection").0))
     }
 
     /// A job of a class, its connection and its id.
     async fn job(&mut self, class: &str, key: &str) -> (Wire, String) {
         self.next_id += 1;
         let id = format!("{:016x}", self.next_id);
-        let mut client = Wire::dial(self.address).await;
+        let mut client = dial(self.address).await;
         client
-            .post(&format!("/{class}/{key}"), &format!("X-Trace-Id: {id}\r\nX-Qos: {class}\r\n"), "work")
+            .hand_in(&format!("/{class}/{key}"), &format!("X-Trace-Id: {id}\r\nX-Qos: {class}\r\n"), "work")
             .await;
         (client, id)
     }
 
     /// A peer's word on a job; it must be answered 200 whatever it says.
     async fn call_back(&self, id: &str, peer: usize, state: &str) {
-        let mut wire = Wire::dial(self.address).await;
+        let mut wire = dial(self.address).await;
         let body =
             json!({"id": id, "from": format!("s-{peer}"), "state": state, "result": "made"}).to_string();
-        wire.post("/callback", "", &body).await;
+        wire.hand_in("/callback", "", &body).await;
         assert_eq!(status(&wire.read().await), "200");
     }
 
@@ -186,10 +170,10 @@
     async fn peer_0_serves(&mut self, class: &str) {
         for key in 0..8 {
             let (mut client, id) = self.job(class, &key.to_string()).await;
-            let mut peer = Wire(self.peers[0].accept().await.expect("peer 0 is asked").0);
+            let mut peer = Wire::new(self.peers[0].accept().await.expect("peer 0 is asked").0);
             peer.read().await.expect("the job");
             // Ends the connection after each job, so that the next one is seen to be dialled.
-            peer.write("HTTP/1.1 202 Accepted\r\nconnection: close\r\ncontent-length: 0\r\n\r\n").await;
+            peer.send("HTTP/1.1 202 Accepted\r\nconnection: close\r\ncontent-length: 0\r\n\r\n").await;
             self.call_back(&id, 0, "done").await;
             assert_eq!(status(&client.read().await), "200");
         }
@@ -199,7 +183,7 @@
     async fn serve_next(&self, id: &str) {
         let (number, mut peer) = self.peer().await;
         peer.read().await.expect("the job");
-        peer.write(ACCEPTED).await;
+        peer.send(ACCEPTED).await;
         self.call_back(id, number, "done").await;
     }
 }
@@ -210,28 +194,28 @@
 #[tokio::test]
 async fn a_job_passes_unchanged_and_its_callback_may_overtake_the_202() {
     let stage = Stage::set(1).await;
-    let mut client = Wire::dial(stage.address).await;
+    let mut client = dial(stage.address).await;
     let headers =
         "X-Trace-Id: 00000000000000ab\r\nX-Qos: safe\r\nX-Expires-In: 30000m\r\nIdempotency-Key: 5c0f\r\n";
-    client.post("/safe/a%2Fb?q=%20", headers, "some work").await;
+    client.hand_in("/safe/a%2Fb?q=%20", headers, "some work").await;
     let (number, mut peer) = stage.peer().await;
-    let (head, body) = peer.read().await.expect("the job");
-    assert!(head.starts_with("post /safe/a%2fb?q=%20 http/1.1"), "{head}");
-    assert_eq!(header(&head, "x-trace-id"), Some("00000000000000ab"));
-    assert_eq!(header(&head, "idempotency-key"), Some("5c0f"));
-    assert!(header(&head, "x-expires-in").is_some_and(|left| left.ends_with('u')), "{head}");
-    assert_eq!(body, "some work");
+    let job = peer.read().await.expect("the job");
+    assert_eq!(job.line, "POST /safe/a%2Fb?q=%20 HTTP/1.1");
+    assert_eq!(job.header("x-trace-id"), Some("00000000000000ab"));
+    assert_eq!(job.header("idempotency-key"), Some("5c0f"));
+    assert!(job.header("x-expires-in").is_some_and(|left| left.ends_with('u')), "{job:?}");
+    assert_eq!(job.text(), "some work");
     stage.call_back("00000000000000ab", 7, "done").await;
     stage.call_back("not an id", number, "done").await;
     stage.call_back("00000000000000ab", number, "started").await;
     stage.call_back("00000000000000ab", number, "done").await;
     stage.call_back("00000000000000ab", number, "done").await;
     let answer = client.read().await;
-    assert_eq!((status(&answer), answer.as_ref().unwrap().1.as_str()), ("200", "made"));
+    assert_eq!((status(&answer), answer.as_ref().unwrap().text().as_str()), ("200", "made"));
     // The connection is kept: the 202 was still read after the job was done.
-    peer.write(ACCEPTED).await;
-    client.post("/safe/c", "X-Trace-Id: 00000000000000ac\r\n", "more").await;
-    assert!(peer.read().await.expect("the next job").0.starts_with("post /safe/c "));
+    peer.send(ACCEPTED).await;
+    client.hand_in("/safe/c", "X-Trace-Id: 00000000000000ac\r\n", "more").await;
+    assert_eq!(peer.asked().await, "/safe/c");
 }
 
 /// A job that may have run is sent again only as its class allows; one that never ran always may be.
@@ -255,7 +239,7 @@
     let (mut client, id) = stage.job(class, "k").await;
     let (number, mut peer) = stage.peer().await;
     peer.read().await.expect("the job");
-    peer.write(answer).await;
+    peer.send(answer).await;
     if callback.is_empty() {
         drop(peer);
     } else {
@@ -295,7 +279,7 @@
         let (mut client, _) = stage.job("safe", "k").await;
         let (number, mut peer) = stage.peer().await;
         peer.read().await.expect("the job");
-        peer.write("HTTP/1.1 400 No\r\nconnection: close\r\ncontent-length: 0\r\n\r\n").await;
+        peer.send("HTTP/1.1 400 No\r\nconnection: close\r\ncontent-length: 0\r\n\r\n").await;
         assert_eq!(status(&client.read().await), "502");
         assert_eq!(*first.get_or_insert(number), number, "the key stays with its peer");
     }
@@ -322,10 +306,10 @@
     let (mut client, id) = stage.job("unsafe", "k").await;
     let (number, mut peer) = stage.peer().await;
     peer.read().await.expect("the job");
-    peer.write(ACCEPTED).await;
+    peer.send(ACCEPTED).await;
     stage.call_back(&id, number, "done").await;
     assert_eq!(status(&client.read().await), "200");
-    peer.0.shutdown().await.expect("closed");
+    peer.socket().shutdown().await.expect("closed");
     assert!(peer.read().await.is_none(), "the daemon closes its side too");
     let (mut client, id) = stage.job("unsafe", "k").await;
     stage.serve_next(&id).await;
@@ -342,14 +326,13 @@
     let (number, mut peer) = stage.peer().await;
     peer.read().await.expect("the job");
     if accepted {
-        peer.write(ACCEPTED).await;
+        peer.send(ACCEPTED).await;
         // Its answer shows that the daemon is past the 202, which came before.
         stage.call_back(&id, number, "started").await;
     }
     drop(client);
-    let given_up = peer.read().await.map(|(head, _)| head);
-    let call = format!("delete /jobs/{id} http/1.1");
-    assert_eq!(given_up.is_some_and(|head| head.starts_with(&call)), accepted);
+    let given_up = peer.read().await.map(|call| call.line);
+    assert_eq!(given_up, accepted.then(|| format!("DELETE /jobs/{id} HTTP/1.1")));
 }
 
 /// A module that gives up answers at once and says when to come back.
@@ -362,11 +345,12 @@
     for _ in 0..2 {
         let (_, mut peer) = stage.peer().await;
         peer.read().await.expect("the job");
-        peer.write("HTTP/1.1 504 No\r\nX-Never-Ran: 1\r\ncontent-length: 0\r\n\r\n").await;
+        peer.send("HTTP/1.1 504 No\r\nX-Never-Ran: 1\r\ncontent-length: 0\r\n\r\n").await;
     }
     let answer = client.read().await;
     assert_eq!(status(&answer), "503");
-    let seconds: f64 = header(&answer.unwrap().0, "retry-after").expect("advice").parse().expect("a number");
+    let seconds: f64 =
+        answer.as_ref().unwrap().header("retry-after").expect("advice").parse().expect("a number");
     assert!(seconds > 0.0 && seconds <= 2.0, "{seconds}");
 }
 
@@ -380,14 +364,14 @@
     let address = |n: usize, stage: &Stage| stage.peers[n].local_addr().unwrap();
     let lists =
         [json!([instance(0, address(0, &stage), "up")]), json!([{"instanceId": "s-0", "lifecycle": "?"}])];
-    let mut watch = Wire(stage.discovery.accept().await.expect("the watch").0);
+    let mut watch = Wire::new(stage.discovery.accept().await.expect("the watch").0);
     for (list, version) in lists.into_iter().zip([1, 5]) {
-        let (head, _) = watch.read().await.expect("a call");
-        assert!(head.starts_with(&format!("get /registry/instances?index={version}&wait=")), "{head}");
+        let asked = watch.asked().await;
+        assert!(asked.starts_with(&format!("/registry/instances?index={version}&wait=")), "{asked}");
         watch.list(5, list).await;
     }
     // The unreadable list ended the watch; the module asks again from the version that it has.
-    assert!(watch.read().await.expect("a call").0.contains("index=5&"));
+    assert!(watch.asked().await.contains("index=5&"));
     stage.peer_0_serves("safe").await;
 }
 
@@ -398,15 +382,15 @@
 async fn a_broken_list_still_tells_who_leaves() {
     let mut stage = Stage::set(2).await;
     let drains = instance(1, stage.peers[1].local_addr().unwrap(), "draining");
-    let mut watch = Wire(stage.discovery.accept().await.expect("the watch").0);
+    let mut watch = Wire::new(stage.discovery.accept().await.expect("the watch").0);
     assert!(watch.asked().await.contains("index=1&"));
     let part = format!(
         "{{\"generation\": 5, \"reset\": true, \"instances\": [{drains}, {{\"instanceId\": \"s-0\", "
     );
-    watch.write(&format!("HTTP/1.1 200 OK\r\ncontent-length: 9999\r\n\r\n{part}")).await;
+    watch.send(&format!("HTTP/1.1 200 OK\r\ncontent-length: 9999\r\n\r\n{part}")).await;
     drop(watch);
     // The version is what it was.
-    let mut watch = Wire(stage.discovery.accept().await.expect("the next watch").0);
+    let mut watch = Wire::new(stage.discovery.accept().await.expect("the next watch").0);
     assert!(watch.asked().await.contains("index=1&"));
     stage.peer_0_serves("safe").await;
 }
@@ -420,14 +404,14 @@
 async fn sighup_moves_to_the_new_discovery() {
     let mut stage = Stage::set(1).await;
     let peer_address = stage.peers[0].local_addr().unwrap();
-    let mut watch = Wire(stage.discovery.accept().await.expect("the watch").0);
+    let mut watch = Wire::new(stage.discovery.accept().await.expect("the watch").0);
     assert!(watch.asked().await.contains("index=1&"));
     watch.list(70, json!([instance(0, peer_address, "up")])).await;
     assert!(watch.asked().await.contains("index=70&"));
     let (mut client, id) = stage.job("safe", "k").await;
     let (number, mut peer) = stage.peer().await;
     peer.read().await.expect("the job");
-    peer.write(ACCEPTED).await;
+    peer.send(ACCEPTED).await;
 
     std::fs::write(&stage.config, "{").expect("written");
     stage.signal("-HUP");
@@ -437,7 +421,7 @@
         let file = config(address, json!([])).to_string();
         std::fs::write(&stage.config, file).expect("written");
         stage.signal("-HUP");
-        let mut watch = Wire(moved.accept().await.expect("the new watch").0);
+        let mut watch = Wire::new(moved.accept().await.expect("the new watch").0);
         assert_eq!(watch.asked().await, "/registry/instances");
         watch.list(version, json!([instance(0, peer_address, "up")])).await;
         assert!(watch.asked().await.contains(&format!("index={version}&")));
@@ -459,29 +443,29 @@
     let (mut early, early_id) = stage.job("safe", "k").await;
     let (number, mut peer) = stage.peer().await;
     peer.read().await.expect("the job");
-    peer.write(ACCEPTED).await;
+    peer.send(ACCEPTED).await;
     // Never whole, so never taken: it must not hold up the end, not even until its time is up.
-    let mut half = Wire::dial(stage.address).await;
-    half.write("POST /safe/k HTTP/1.1\r\nhost: x\r\ncontent-length: 9\r\n\r\nwork").await;
+    let mut half = dial(stage.address).await;
+    half.send("POST /safe/k HTTP/1.1\r\nhost: x\r\ncontent-length: 9\r\n\r\nwork").await;
     stage.signal("-TERM");
     // Readiness is asked until the signal has arrived.
     let closed = loop {
-        let mut front = Wire::dial(stage.address).await;
-        front.write("GET /health/ready HTTP/1.1\r\nhost: x\r\n\r\n").await;
+        let mut front = dial(stage.address).await;
+        front.send("GET /health/ready HTTP/1.1\r\nhost: x\r\n\r\n").await;
         let answer = front.read().await;
         if status(&answer) == "503" {
-            break answer.unwrap().0;
+            break answer.unwrap();
         }
     };
-    assert_eq!(header(&closed, "connection"), Some("close"));
+    assert_eq!(closed.header("connection"), Some("close"));
     let (mut late, late_id) = stage.job("safe", "k").await;
     peer.read().await.expect("the late job");
-    peer.write(ACCEPTED).await;
+    peer.send(ACCEPTED).await;
     for (client, id) in [(&mut early, early_id), (&mut late, late_id)] {
         stage.call_back(&id, number, "done").await;
         let answer = client.read().await;
         assert_eq!(status(&answer), "200");
-        assert_eq!(header(&answer.unwrap().0, "connection"), Some("close"));
+        assert_eq!(answer.as_ref().unwrap().header("connection"), Some("close"));
     }
     assert!(half.read().await.is_none());
     assert!(stage.daemon.wait().expect("it ends").success());
@@ -496,11 +480,11 @@
     let (mut client, id) = stage.job("safe", "k").await;
     let (number, mut peer) = stage.peer().await;
     peer.read().await.expect("the job");
-    peer.write(ACCEPTED).await;
+    peer.send(ACCEPTED).await;
     stage.call_back(&id, number, "started").await;
     stage.signal("-TERM");
     assert_eq!(status(&client.read().await), "503");
-    assert!(peer.read().await.expect("a call").0.starts_with(&format!("delete /jobs/{id} ")));
+    assert_eq!(peer.read().await.expect("a call").line, format!("DELETE /jobs/{id} HTTP/1.1"));
     assert!(stage.daemon.wait().expect("it ends").success());
 }
 
@@ -537,22 +521,22 @@
         ("/callback", String::new(), "{\"id\":\"0\",\"from\":\"?\",\"state\":\"done\"}", "200"),
     ];
     for (target, headers, body, expected) in cases {
-        let mut client = Wire::dial(stage.address).await;
-        client.post(target, &headers, body).await;
+        let mut client = dial(stage.address).await;
+        client.hand_in(target, &headers, body).await;
         assert_eq!(status(&client.read().await), expected, "{target} {headers}");
     }
     // Refused by its length alone: not one byte of the body is sent here.
-    let mut huge = Wire::dial(stage.address).await;
-    huge.write("POST /safe/k HTTP/1.1\r\nhost: x\r\ncontent-length: 62914560\r\n\r\n").await;
+    let mut huge = dial(stage.address).await;
+    huge.send("POST /safe/k HTTP/1.1\r\nhost: x\r\ncontent-length: 62914560\r\n\r\n").await;
     assert_eq!(status(&huge.read().await), "413");
     let (mut client, id) = stage.job("safe", "k").await;
     let (number, mut peer) = stage.peer().await;
     peer.read().await.expect("the job");
     // A second request under an id that is still open would rob the first of its answer.
-    let mut twin = Wire::dial(stage.address).await;
-    twin.post("/safe/k", &format!("X-Trace-Id: {id}\r\n"), "").await;
+    let mut twin = dial(stage.address).await;
+    twin.hand_in("/safe/k", &format!("X-Trace-Id: {id}\r\n"), "").await;
     assert_eq!(status(&twin.read().await), "409");
-    peer.write(ACCEPTED).await;
+    peer.send(ACCEPTED).await;
     stage.call_back(&id, number, "done").await;
     assert_eq!(status(&client.read().await), "200");
 }
@@ -569,8 +553,8 @@
     #[case] answer: Option<&str>,
 ) {
     let stage = Stage::set(1).await;
-    let mut client = Wire::dial(stage.address).await;
-    client.write(sent).await;
+    let mut client = dial(stage.address).await;
+    client.send(sent).await;
     let last = client.read().await;
     assert_eq!(last.is_some().then(|| status(&last)), answer);
     assert!(client.read().await.is_none(), "and the connection is closed");
@@ -584,7 +568,7 @@
     let mut stage = Stage::set(1).await;
     let mut crowd = Vec::new();
     for _ in 0..2 * SOCKETS {
-        crowd.push(Wire::dial(stage.address).await);
+        crowd.push(dial(stage.address).await);
     }
     let (mut client, id) = stage.job("safe", "k").await;
     stage.serve_next(&id).await;
