--- a/Makefile
+++ b/Makefile
@@ -1,11 +1,16 @@
-# CONFIG names the file that a scheduler is started with; see README.md.
-CONFIG ?= config.json
+# CONFIG names the file that a scheduler is started with; DEMO adds words to the demonstration. See README.md.
+CONFIG ?= vetchbridge.toml
+DEMO ?=
 
-.PHONY: build test lint run
+.PHONY: build kit test lint run demo bench
 
+# The daemon and the simulator's adapter, and nothing of the kit.
 build:
 	cargo build --release --locked -p vetchbridge -p wirehost
 
+kit:
+	cargo build --release --locked -p vetchbridge -p vetchkit
+
 test:
 	cargo test --workspace --locked
 
@@ -14,4 +19,12 @@
 	cargo clippy --workspace --locked --all-targets -- -D warnings
 
 run: build
-	BALANCER_CONFIG=$(CONFIG) target/release/vetchbridge
+	target/release/vetchbridge serve --config $(CONFIG)
+
+# A whole platform on this machine under load, and what came of it.
+demo: kit
+	target/release/vetchkit demo $(DEMO)
+
+# The daemon's processor time a request beside a bare relay's.
+bench: kit
+	target/release/vetchkit bench
--- a/crates/platform/src/account.rs
+++ b/crates/platform/src/account.rs
@@ -79,8 +79,14 @@
     pub service: f64,
 }
 
-/// Holds the two sides against each other.
-pub fn judge(classes: &[ClassLoad], jobs: &[JobRecord], runs: &[Run], outages: &[Outage]) -> Verdict {
+/// Holds the two sides against each other; where the peers' side is unknown, looks at the clients' alone.
+pub fn judge(
+    classes: &[ClassLoad],
+    jobs: &[JobRecord],
+    known_runs: Option<&[Run]>,
+    outages: &[Outage],
+) -> Verdict {
+    let runs = known_runs.unwrap_or_default();
     let mut verdict = Verdict { runs: runs.len() as u64, ..Verdict::default() };
     let mut violations = Vec::new();
     let mut sent: HashMap<u64, &JobRecord> = HashMap::new();
@@ -99,7 +105,7 @@
             match &one.outcome {
                 Outcome::Served(made) => {
                     verdict.answers.served += 1;
-                    if !made_for(made, one.id, job, runs) {
+                    if known_runs.is_some() && !made_for(made, one.id, job, runs) {
                         violations.push(Violation::Foreign(one.id));
                     }
                 }
@@ -258,7 +264,7 @@
         for (number, (spoil, expected)) in cases.into_iter().enumerate() {
             let (classes, mut jobs, mut runs) = day();
             spoil(&mut jobs, &mut runs);
-            let found = judge(&classes, &jobs, &runs, &[]).violations;
+            let found = judge(&classes, &jobs, Some(&runs), &[]).violations;
             assert_eq!(found, expected.into_iter().collect::<Vec<_>>(), "case {number}");
         }
     }
@@ -269,7 +275,7 @@
         jobs[0].tries[0].outcome = Outcome::Broken(String::new());
         let outage =
             |from, until| Outage { from: Duration::from_millis(from), until: Duration::from_millis(until) };
-        let found = |outage| judge(&classes, &jobs, &runs, &[outage]).violations.len();
+        let found = |outage| judge(&classes, &jobs, Some(&runs), &[outage]).violations.len();
         assert_eq!((found(outage(500, 900)), found(outage(1_001, 2_000))), (0, 1));
     }
 }
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -13,7 +13,7 @@
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
@@ -154,6 +154,28 @@
         Ok(record)
     }
 
+    /// Keeps so many connections busy for so long: each sends its next job when the last has ended. What a server can
+    /// take shows in how many do, not in their latency.
+    pub async fn closed(self, connections: usize, duration: Duration) -> Result<LoadRecord, LoadError> {
+        let (began, arrivals) = (Instant::now(), Arc::new(Mutex::new(Arrivals::new(&self.spec)?)));
+        let clients = Arc::new(self);
+        let mut out = JoinSet::new();
+        for _ in 0..connections {
+            let (clients, arrivals) = (clients.clone(), arrivals.clone());
+            out.spawn(async move {
+                let mut jobs = Vec::new();
+                while began.elapsed() < duration {
+                    let arrival = arrivals.lock().unwrap_or_else(PoisonError::into_inner).next();
+                    let Some(arrival) = arrival else { break };
+                    jobs.push(clients.job(began, Arrival { at: began.elapsed(), ..arrival }).await);
+                }
+                jobs
+            });
+        }
+        let jobs = out.join_all().await.into_iter().flatten().collect();
+        Ok(LoadRecord { jobs, lag: Duration::ZERO })
+    }
+
     /// One job, to its last try.
     fn job(
         &self,
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -29,6 +29,7 @@
 pub struct Front {
     port: Port,
     backends: Arc<Vec<Backend>>,
+    notice: Duration,
     _server: Owned,
 }
 
@@ -41,7 +42,7 @@
             schedulers.iter().map(|address| Backend { address: *address, dealt_to: AtomicBool::new(false) });
         let backends = Arc::new(backends.collect::<Vec<_>>());
         let server = Owned::spawn(serve(listener, backends.clone(), notice));
-        Ok(Front { port, backends, _server: server })
+        Ok(Front { port, backends, notice, _server: server })
     }
 
     /// Where clients connect.
@@ -49,6 +50,11 @@
         self.port.address()
     }
 
+    /// How late it notices that a scheduler has gone.
+    pub fn notice(&self) -> Duration {
+        self.notice
+    }
+
     /// How many schedulers it deals connections to.
     pub fn dealt_to(&self) -> usize {
         self.backends.iter().filter(|backend| backend.dealt_to.load(Ordering::Relaxed)).count()
--- a/crates/platform/src/peer.rs
+++ b/crates/platform/src/peer.rs
@@ -33,6 +33,8 @@
 const TELL_WAIT: Duration = Duration::from_millis(500);
 /// A job's progress is reckoned in steps of this, since its peer's speed changes under way.
 const STEP: Duration = Duration::from_millis(50);
+/// Work, in seconds, that counts as none.
+const GRAIN: f64 = 1e-6;
 
 /// What a peer is.
 #[derive(Clone, Debug)]
@@ -559,7 +561,8 @@
         }
         let (total, mut left) = (work.as_secs_f64(), work.as_secs_f64());
         let mut since_told = Duration::ZERO;
-        while left > 0.0 {
+        // A rest below the clock's grain would never be worked off.
+        while left > GRAIN {
             let span = STEP.min(Duration::from_secs_f64((left / self.rate()).min(3600.0)));
             tokio::select! {
                 () = sleep(span) => {}
@@ -570,7 +573,7 @@
             }
             left -= span.as_secs_f64() * self.rate();
             since_told += span;
-            if !self.spec.progress.is_zero() && since_told >= self.spec.progress && left > 0.0 {
+            if !self.spec.progress.is_zero() && since_told >= self.spec.progress && left > GRAIN {
                 since_told = Duration::ZERO;
                 words.send(("running", 1.0 - left / total, String::new())).ok()?;
             }
--- a/crates/platform/tests/stories.rs
+++ b/crates/platform/tests/stories.rs
@@ -70,6 +70,21 @@
     assert_eq!(stage.runs.all()[0].end, RunEnd::Finished);
 }
 
+/// Work of any odd length comes to its end: a rest below the clock's grain once kept its slot for good.
+#[rstest]
+#[timeout(HANG)]
+#[tokio::test]
+async fn work_of_any_length_ends() {
+    let stage = Stage::set(PeerSpec { speed: 1.7, ..PeerSpec::new("s-0") }).await;
+    for work in [1, 333, 50_001, 100_003] {
+        stage.send(work, "", &format!("work_us={work}")).await.read().await.expect("an answer");
+        assert_eq!(
+            (stage.told_state().await.as_str(), stage.told_state().await.as_str()),
+            ("started", "done")
+        );
+    }
+}
+
 #[rstest]
 #[case::refuse(Act::Answer { status: 503, never_ran: true }, Some("503"), &[])]
 #[case::mute(Act::Mute, None, &[])]
--- a/crates/vetchbridge/src/config/check.rs
+++ b/crates/vetchbridge/src/config/check.rs
@@ -4,6 +4,7 @@
 //! all that it asks for stands in the schema.
 
 use super::units;
+use serde::de::DeserializeOwned;
 use serde_json::Value;
 use std::fmt;
 use toml::de::{DeTable, DeValue};
@@ -42,6 +43,28 @@
     }
 }
 
+/// The schema of a format, made from its types.
+pub fn schema_of<T: schemars::JsonSchema>() -> Value {
+    let settings = schemars::generate::SchemaSettings::draft2020_12();
+    settings.with(|s| s.inline_subschemas = true).into_generator().into_root_schema_for::<T>().to_value()
+}
+
+/// Reads a text of a format; all that its schema finds wrong otherwise, in the order of its places.
+pub fn hold<T: DeserializeOwned>(source: &str, text: &str, schema: &Value) -> Result<T, Vec<Fault>> {
+    let (parsed, mut faults) = Text::parse(source, text);
+    faults.extend(parsed.hold_against(schema));
+    if !faults.is_empty() {
+        faults.sort_by_key(|fault| fault.at);
+        return Err(faults);
+    }
+    // The walk has seen every key, so this is a second lock on the same door.
+    toml::from_str(text).map_err(|error| {
+        let at = error.span().map(|span| parsed.place(span.start));
+        let (source, key) = (source.to_string(), String::new());
+        vec![Fault { source, at, key, what: error.message().to_string(), remedy: String::new() }]
+    })
+}
+
 /// A file's text with the places of its keys.
 pub struct Text<'t> {
     source: &'t str,
--- a/crates/vetchbridge/src/config/file.rs
+++ b/crates/vetchbridge/src/config/file.rs
@@ -450,6 +450,5 @@
 
 /// The JSON Schema of the format.
 pub fn schema() -> serde_json::Value {
-    let settings = schemars::generate::SchemaSettings::draft2020_12();
-    settings.with(|s| s.inline_subschemas = true).into_generator().into_root_schema_for::<File>().to_value()
+    super::check::schema_of::<File>()
 }
--- a/crates/vetchbridge/src/config/mod.rs
+++ b/crates/vetchbridge/src/config/mod.rs
@@ -4,7 +4,7 @@
 //! platform's document (`BALANCER_CONFIG`, [`platform`]); ours is TOML ([`file`]). Either becomes a [`Config`], or
 //! all of its [`Fault`]s at once. This module must never open a socket or give the decision module an event.
 
-mod check;
+pub mod check;
 pub mod file;
 mod platform;
 pub mod units;
@@ -13,7 +13,7 @@
 
 use crate::listing::{Instance, Lifecycle, Listing, Names, Source};
 use crate::logs::LogFormat;
-use check::Text;
+use check::{hold, Text};
 use file::{File, Follow, Group, QueueOrder, Repeat, Weights};
 use serde_json::Value;
 use silverproxy::interface::{
@@ -177,7 +177,12 @@
 
 /// Reads a file of either format on its own, as `check` does; the environment does not count.
 pub fn read_file(path: &Path) -> Result<Read, ConfigError> {
-    read(&path.to_string_lossy(), &text(path)?, &Flags::default(), &|_| None)
+    read_text(&path.to_string_lossy(), &text(path)?)
+}
+
+/// Reads a text of either format in the same way.
+pub fn read_text(source: &str, text: &str) -> Result<Read, ConfigError> {
+    read(source, text, &Flags::default(), &|_| None)
 }
 
 fn read(
@@ -199,17 +204,7 @@
 
 /// The file as its shape has it; all that its schema finds wrong otherwise.
 fn check_shape(source: &str, text: &str) -> Result<File, ConfigError> {
-    let (parsed, mut faults) = Text::parse(source, text);
-    faults.extend(parsed.hold_against(&file::schema()));
-    if !faults.is_empty() {
-        faults.sort_by_key(|fault| fault.at);
-        return Err(ConfigError(faults));
-    }
-    // The walk has seen every key, so this is a second lock on the same door.
-    toml::from_str(text).map_err(|error| {
-        let (key, remedy) = ("", "");
-        ConfigError::one(source, key, error.message(), remedy)
-    })
+    hold(source, text, &file::schema()).map_err(ConfigError)
 }
 
 /// What flags and environment said, by key.
--- a/crates/vetchbridge/tests/configuration.rs
+++ b/crates/vetchbridge/tests/configuration.rs
@@ -139,6 +139,16 @@
     }
 }
 
+#[test]
+fn an_address_that_is_taken_is_the_machines_fault() {
+    let taken = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = taken.local_addr().expect("bound").to_string();
+    let path = file("taken.toml", &default_text());
+    let output = vetchbridge(&["serve", "--config", path.to_str().expect("text"), "--listen", &address]);
+    assert_eq!(output.status.code(), Some(3));
+    assert!(String::from_utf8_lossy(&output.stderr).contains(&address));
+}
+
 /// Whatever a file holds, it is read or refused with words; half of it, or one character off, included.
 #[test]
 fn no_text_makes_the_check_panic() {
--- a/crates/vetchbridge/tests/node.rs
+++ b/crates/vetchbridge/tests/node.rs
@@ -354,6 +354,18 @@
     assert!(seconds > 0.0 && seconds <= 2.0, "{seconds}");
 }
 
+/// Nobody to send to is told at once, with advice, and not at the deadline.
+#[rstest]
+#[timeout(HANG)]
+#[tokio::test]
+async fn an_empty_list_rejects_at_once() {
+    let mut stage = Stage::set(0).await;
+    let (mut client, _) = stage.job("safe", "k").await;
+    let answer = client.read().await;
+    assert_eq!(status(&answer), "503");
+    assert!(answer.unwrap().header("retry-after").is_some());
+}
+
 /// The watch goes on from the version last told, a list that can't be read changes nothing, and a peer that
 /// drains gets nothing new.
 #[rstest]
--- /dev/null
+++ b/crates/vetchkit/src/cli.rs
@@ -0,0 +1,358 @@
+//! The kit's command line. Owns its words, its exit codes and what is printed.
+
+use crate::plan::{self, Plan};
+use crate::report::{PeerSide, Report};
+use crate::runner::{self, Interrupt, Progress};
+use crate::stage::Stage;
+use crate::{bench, relay, Failure};
+use clap::{Args, CommandFactory, Parser, Subcommand};
+use platform::client::Clients;
+use rustix::process::{getrlimit, setrlimit, Resource, Rlimit};
+use std::io::{self, Write};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+use tokio::time::Instant;
+use vetchbridge::config::units::Span;
+
+const EXAMPLES: &str = "\
+Examples:
+  vetchkit demo                                   a whole platform under load for 20 s, and what came of it
+  vetchkit demo --kill 2                          the same while two schedulers are killed
+  vetchkit plan default > plan.toml               the plan of that platform, to change
+  vetchkit up plan.toml                           the platform alone, until Ctrl-C
+  vetchkit load --to 127.0.0.1:8080 --rate 100    a load on addresses of yours
+  vetchkit bench                                  the daemon's cost beside a bare relay's
+
+Exit codes:
+  0  held                         2  bad input: nothing was started
+  1  a rule or goal was missed    3  the machine could not do it
+  130  ended at once by a second Ctrl-C";
+
+/// The kit that ships with the daemon: stand-in platform, load, demonstration, measurements.
+#[derive(Debug, Parser)]
+#[command(name = "vetchkit", version, after_help = EXAMPLES)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Args)]
+struct Staging {
+    /// The daemon's binary; the one beside this program where it is absent
+    #[arg(long, value_name = "FILE")]
+    daemon: Option<PathBuf>,
+    /// Keep the schedulers' configurations and logs in this folder
+    #[arg(long, value_name = "FOLDER")]
+    logs: Option<PathBuf>,
+    /// What the schedulers log, as in RUST_LOG
+    #[arg(long, value_name = "FILTER")]
+    log_filter: Option<String>,
+}
+
+impl Staging {
+    fn extra(&self) -> Vec<String> {
+        let filter = self.log_filter.iter().flat_map(|filter| ["--log-filter".to_string(), filter.clone()]);
+        filter.collect()
+    }
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Start a platform and its schedulers, and keep them until Ctrl-C
+    #[command(after_help = "Example:\n  vetchkit up plan.toml --logs logs")]
+    Up {
+        /// The plan; the built-in one where it is absent
+        plan: Option<PathBuf>,
+        #[command(flatten)]
+        staging: Staging,
+    },
+    /// Send a load to given addresses and tell what came back
+    #[command(after_help = "\
+Examples:
+  vetchkit load --to 127.0.0.1:8080 --to 127.0.0.1:8081 --rate 200 --for 30s
+  vetchkit load --to 127.0.0.1:8080 --connections 64 --for 10s     a closed loop instead")]
+    Load {
+        /// Where to; several are taken in turn
+        #[arg(long, required = true, value_name = "ADDRESS")]
+        to: Vec<SocketAddr>,
+        /// Jobs a second, as an open loop; the plan's where it is absent
+        #[arg(long, conflicts_with = "connections")]
+        rate: Option<f64>,
+        /// Keep so many connections busy instead
+        #[arg(long)]
+        connections: Option<usize>,
+        /// For how long; the plan's where it is absent
+        #[arg(long = "for", value_name = "SPAN")]
+        duration: Option<Span>,
+        /// Classes and their jobs come from this plan
+        #[arg(long, value_name = "FILE")]
+        plan: Option<PathBuf>,
+        /// Print JSON
+        #[arg(long)]
+        json: bool,
+    },
+    /// Start a platform, send it its load, and hold what clients heard against what peers ran
+    #[command(after_help = "Example:\n  vetchkit demo --for 60s --kill 2 --logs logs")]
+    Demo {
+        /// The plan; the built-in one where it is absent
+        plan: Option<PathBuf>,
+        /// Kill so many schedulers by SIGKILL along the load; each is back after 2 s
+        #[arg(long, default_value_t = 0)]
+        kill: usize,
+        /// For how long; the plan's where it is absent
+        #[arg(long = "for", value_name = "SPAN")]
+        duration: Option<Span>,
+        /// Jobs a second; the plan's where it is absent
+        #[arg(long)]
+        rate: Option<f64>,
+        /// Print JSON
+        #[arg(long)]
+        json: bool,
+        #[command(flatten)]
+        staging: Staging,
+    },
+    /// Measure the daemon's processor time a request beside a bare relay's, in turns
+    #[command(after_help = "Example:\n  vetchkit bench --connections 32 --turn 3s --rounds 5")]
+    Bench {
+        /// Connections to keep busy
+        #[arg(long, default_value_t = 32)]
+        connections: usize,
+        /// How long a turn takes
+        #[arg(long, default_value = "3s", value_name = "SPAN")]
+        turn: Span,
+        /// Turns of each
+        #[arg(long, default_value_t = 5)]
+        rounds: usize,
+        /// The daemon's binary; the one beside this program where it is absent
+        #[arg(long, value_name = "FILE")]
+        daemon: Option<PathBuf>,
+        /// Print JSON
+        #[arg(long)]
+        json: bool,
+    },
+    /// Pass every request on to one address, deciding nothing: what `bench` compares with
+    Relay {
+        /// Where clients connect
+        #[arg(long, value_name = "ADDRESS")]
+        listen: SocketAddr,
+        /// Where requests go
+        #[arg(long, value_name = "ADDRESS")]
+        to: SocketAddr,
+    },
+    /// Print what plans look like
+    Plan {
+        #[command(subcommand)]
+        what: What,
+    },
+    /// Print completions for a shell
+    Completions {
+        /// The shell
+        shell: clap_complete::Shell,
+    },
+}
+
+#[derive(Debug, Subcommand)]
+enum What {
+    /// The built-in plan
+    Default,
+    /// The JSON Schema of the format, for editors
+    Schema,
+    /// Read plans and tell every fault
+    Check {
+        /// The plans
+        #[arg(required = true)]
+        files: Vec<PathBuf>,
+    },
+}
+
+/// The whole program.
+pub fn main() -> ExitCode {
+    let cli = Cli::parse();
+    let runtime = match cli.command {
+        // One thread, as the daemon has.
+        Command::Relay { .. } => tokio::runtime::Builder::new_current_thread().enable_all().build(),
+        _ => tokio::runtime::Builder::new_multi_thread().enable_all().build(),
+    };
+    let done = match runtime {
+        Ok(runtime) => runtime.block_on(run(cli.command)),
+        Err(error) => Err(Failure::Machine(error.to_string())),
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(failure) => {
+            eprintln!("{failure}");
+            ExitCode::from(failure.code())
+        }
+    }
+}
+
+async fn run(command: Command) -> Result<(), Failure> {
+    match command {
+        Command::Up { plan, staging } => up(&Plan::read(plan.as_deref())?, &staging).await,
+        Command::Load { to, rate, connections, duration, plan, json } => {
+            let mut plan = Plan::read(plan.as_deref())?;
+            override_load(&mut plan, rate, duration)?;
+            load(&plan, to, connections, json).await
+        }
+        Command::Demo { plan, kill, duration, rate, json, staging } => {
+            let mut plan = Plan::read(plan.as_deref())?;
+            override_load(&mut plan, rate, duration)?;
+            demo(&plan, kill, json, &staging).await
+        }
+        Command::Bench { connections, turn, rounds, daemon, json } => {
+            if connections == 0 || rounds == 0 {
+                return Err(Failure::BadInput("--connections and --rounds must be at least 1".to_string()));
+            }
+            descriptors(connections as u64 * 8 + 256)?;
+            let plan = Plan::read(None)?;
+            let found =
+                bench::compare(&plan, daemon.as_deref(), connections, turn.duration(), rounds).await?;
+            print(&if json { to_json(&found)? } else { found.text() })
+        }
+        Command::Relay { listen, to } => relay::serve(listen, to).await,
+        Command::Plan { what: What::Default } => print(plan::DEMO),
+        Command::Plan { what: What::Schema } => print(&to_json(&plan::schema())?),
+        Command::Plan { what: What::Check { files } } => {
+            let faults = files.iter().filter_map(|file| Plan::read(Some(file)).err());
+            let faults: Vec<String> = faults.map(|failure| failure.to_string()).collect();
+            if faults.is_empty() {
+                return print("held\n");
+            }
+            Err(Failure::BadInput(faults.join("\n")))
+        }
+        Command::Completions { shell } => {
+            let mut text = Vec::new();
+            clap_complete::generate(shell, &mut Cli::command(), "vetchkit", &mut text);
+            print(&String::from_utf8_lossy(&text))
+        }
+    }
+}
+
+/// A reader that has gone is no fault.
+fn print(text: &str) -> Result<(), Failure> {
+    match io::stdout().write_all(text.as_bytes()) {
+        Err(error) if error.kind() != io::ErrorKind::BrokenPipe => Err(Failure::Machine(error.to_string())),
+        _ => Ok(()),
+    }
+}
+
+fn to_json(value: &impl serde::Serialize) -> Result<String, Failure> {
+    let text = serde_json::to_string_pretty(value).map_err(|error| Failure::Machine(error.to_string()))?;
+    Ok(text + "\n")
+}
+
+fn override_load(plan: &mut Plan, rate: Option<f64>, duration: Option<Span>) -> Result<(), Failure> {
+    if let Some(rate) = rate {
+        if !(rate > 0.0 && rate <= 1e6) {
+            return Err(Failure::BadInput(format!(
+                "--rate {rate}: from just above 0 to 1000000 jobs a second"
+            )));
+        }
+        plan.load.rate = rate;
+    }
+    plan.load.duration = duration.unwrap_or(plan.load.duration);
+    Ok(())
+}
+
+/// Raises the limit on descriptors as far as it goes, and says so if that is not enough.
+fn descriptors(wanted: u64) -> Result<(), Failure> {
+    let limit = getrlimit(Resource::Nofile);
+    if limit.current.is_some_and(|current| current < wanted) {
+        // What can't be raised is found out by the check below.
+        let _ = setrlimit(Resource::Nofile, Rlimit { current: limit.maximum, maximum: limit.maximum });
+    }
+    match getrlimit(Resource::Nofile).current {
+        Some(current) if current < wanted => Err(Failure::Machine(format!(
+            "{wanted} descriptors are needed and the limit is {current}: raise it (ulimit -n) or ask for less"
+        ))),
+        _ => Ok(()),
+    }
+}
+
+async fn up(plan: &Plan, staging: &Staging) -> Result<(), Failure> {
+    let interrupt = Interrupt::listen()?;
+    let extra = staging.extra();
+    let setting = Stage::set(plan, staging.daemon.as_deref(), staging.logs.as_deref(), &extra);
+    let mut stage = interrupt.unless_asked(setting).await?;
+    let mut text = format!("front       {}\n", stage.front.address());
+    for (number, scheduler) in stage.schedulers.iter().enumerate() {
+        let (address, log) = (scheduler.address(), scheduler.log().display());
+        text.push_str(&format!("scheduler {number} {address}  log {log}\n"));
+    }
+    for peer in &stage.peers {
+        let (spec, addresses) = (peer.spec(), peer.addresses());
+        let first = addresses.first().map(ToString::to_string).unwrap_or_default();
+        text.push_str(&format!("peer        {first}  {} {} {}\n", spec.name, spec.zone, spec.kind));
+    }
+    text.push_str(&format!("\nvetchkit load --to {}   sends it jobs; Ctrl-C ends\n", stage.front.address()));
+    print(&text)?;
+    let mut every = tokio::time::interval(Duration::from_millis(500));
+    loop {
+        tokio::select! {
+            () = interrupt.asked() => break,
+            _ = every.tick() => stage.all_live()?,
+        }
+    }
+    ended_well(stage.end().await)
+}
+
+fn ended_well(bad: Vec<String>) -> Result<(), Failure> {
+    if bad.is_empty() {
+        return Ok(());
+    }
+    Err(Failure::Missed(bad.join("\n")))
+}
+
+async fn load(
+    plan: &Plan,
+    to: Vec<SocketAddr>,
+    connections: Option<usize>,
+    json: bool,
+) -> Result<(), Failure> {
+    // An open loop holds as many connections as jobs are out; a second's worth is a fair guess at the least.
+    descriptors(connections.map_or(plan.load.rate.ceil() as u64, |connections| connections as u64) + 64)?;
+    let clients = Clients::new(plan.load_spec(), to).map_err(|error| Failure::BadInput(error.to_string()))?;
+    let (interrupt, duration) = (Interrupt::listen()?, plan.load.duration.duration());
+    let record = match connections {
+        Some(0) => return Err(Failure::BadInput("--connections 0: at least 1".to_string())),
+        Some(connections) => {
+            interrupt.unless_asked(async { Ok(clients.closed(connections, duration).await) }).await?
+        }
+        None => {
+            let mut progress = Progress::new(duration);
+            clients.run(Instant::now(), duration, interrupt.subscribe(), |at| progress.show(at)).await
+        }
+    };
+    let record = record.map_err(|error| Failure::BadInput(error.to_string()))?;
+    let report = Report::of(&plan.load_spec().classes, &record, None, &[]);
+    finish(&report, json, Vec::new())
+}
+
+async fn demo(plan: &Plan, kill: usize, json: bool, staging: &Staging) -> Result<(), Failure> {
+    descriptors((plan.load.rate * 4.0).ceil() as u64 + 64 * plan.peer_specs().len() as u64)?;
+    let interrupt = Interrupt::listen()?;
+    let extra = staging.extra();
+    let setting = Stage::set(plan, staging.daemon.as_deref(), staging.logs.as_deref(), &extra);
+    let mut stage = interrupt.unless_asked(setting).await?;
+    let clients = Clients::new(plan.load_spec(), vec![stage.front.address()]);
+    let clients = clients.map_err(|error| Failure::BadInput(error.to_string()))?;
+    let ran = runner::run(&mut stage, clients, plan.load.duration.duration(), kill, &interrupt).await;
+    let (record, outages) = ran?;
+    let peers = PeerSide { runs: stage.runs.all(), counts: stage.runs.counts() };
+    let bad = stage.end().await;
+    let report = Report::of(&plan.load_spec().classes, &record, Some(&peers), &outages);
+    finish(&report, json, bad)
+}
+
+fn finish(report: &Report, json: bool, bad: Vec<String>) -> Result<(), Failure> {
+    print(&if json { to_json(report)? } else { report.text() })?;
+    if !report.violations.is_empty() {
+        return Err(Failure::Missed(format!("{} rules were broken", report.violations.len())));
+    }
+    if let Some(fault) = report.machine_fault() {
+        return Err(Failure::Machine(fault));
+    }
+    ended_well(bad)
+}
--- /dev/null
+++ b/crates/vetchkit/src/plan.rs
@@ -0,0 +1,324 @@
+//! The plan of a platform: schedulers, peers, load. Owns the shape of the file and its meaning in the stand-ins' terms.
+//! It must never start anything.
+
+use crate::Failure;
+use platform::arrivals::{ClassLoad, LoadSpec, Repeat};
+use platform::peer::PeerSpec;
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+use vetchbridge::config::check::{hold, Text};
+use vetchbridge::config::file::{self, File};
+use vetchbridge::config::units::Span;
+use vetchbridge::config::Fault;
+
+/// The plan of the demonstration.
+pub const DEMO: &str = include_str!("../plans/demo.toml");
+
+/// A platform on one machine.
+#[derive(Clone, Debug, Deserialize, Serialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Plan {
+    /// The seed of every draw.
+    #[serde(default)]
+    pub seed: u64,
+    /// The schedulers.
+    pub schedulers: Schedulers,
+    /// What every scheduler is told, in the daemon's own format; name, addresses, number and zone are filled in.
+    pub daemon: File,
+    /// The peers.
+    pub peers: Vec<Peers>,
+    /// The load.
+    pub load: Load,
+}
+
+/// The schedulers.
+#[derive(Clone, Debug, Deserialize, Serialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Schedulers {
+    /// How many.
+    #[schemars(range(min = 1, max = 64))]
+    pub count: usize,
+    /// How late the front notices that one has gone.
+    #[serde(default = "notice")]
+    pub notice: Span,
+    /// How late discovery learns of changes.
+    #[serde(default)]
+    pub lateness: Span,
+}
+
+fn notice() -> Span {
+    Span::s(2)
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+fn cold_share() -> f64 {
+    0.2
+}
+
+fn cold_time() -> Span {
+    Span::s(24)
+}
+
+/// Peers of one make.
+#[derive(Clone, Debug, Deserialize, Serialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Peers {
+    /// Their names are this and a number.
+    pub prefix: String,
+    /// How many.
+    #[schemars(range(min = 1, max = 10000))]
+    pub count: usize,
+    /// Their zone; dealt out over daemon.fleet.zones in turn where it is absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub zone: Option<String>,
+    /// Their kind of machine, one of daemon.fleet.kinds.
+    pub kind: String,
+    /// Jobs that one runs at once.
+    #[schemars(range(min = 1))]
+    pub slots: usize,
+    /// Jobs that may wait beyond those.
+    #[serde(default)]
+    pub queue: usize,
+    /// Work that a slot does in a second, in seconds of a slot at speed 1.
+    #[serde(default = "one")]
+    #[schemars(range(min = 0.001))]
+    pub speed: f64,
+    /// The size that discovery tells of.
+    #[serde(default = "one")]
+    #[schemars(range(min = 0.0))]
+    pub weight: f64,
+    /// The share of its speed with which one starts after its death.
+    #[serde(default = "cold_share")]
+    #[schemars(range(min = 0.01, max = 1.0))]
+    pub cold_share: f64,
+    /// How long it takes to warm up.
+    #[serde(default = "cold_time")]
+    pub cold_time: Span,
+}
+
+/// The load: an open loop.
+#[derive(Clone, Debug, Deserialize, Serialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Load {
+    /// Jobs a second.
+    #[schemars(range(min = 0.001, max = 1000000.0))]
+    pub rate: f64,
+    /// For how long.
+    pub duration: Span,
+    /// How often a client comes back.
+    #[serde(default)]
+    #[schemars(range(max = 100))]
+    pub retries: u32,
+    /// How long it waits first, where it is told nothing else.
+    #[serde(default)]
+    pub pause: Span,
+    /// What is sent of each class of daemon.class.
+    pub class: Vec<LoadClass>,
+}
+
+fn objects() -> u64 {
+    100
+}
+
+/// What is sent of a class.
+#[derive(Clone, Debug, Deserialize, Serialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct LoadClass {
+    /// Its name in daemon.class.
+    pub name: String,
+    /// Its share of the jobs, against the others'.
+    #[serde(default = "one")]
+    #[schemars(range(min = 0.0))]
+    pub share: f64,
+    /// The mean of its work at speed 1.
+    pub work: Span,
+    /// How widely work varies: the sigma of a log-normal distribution.
+    #[serde(default)]
+    #[schemars(range(min = 0.0, max = 5.0))]
+    pub spread: f64,
+    /// How many objects its jobs are about.
+    #[serde(default = "objects")]
+    #[schemars(range(min = 1))]
+    pub objects: u64,
+    /// How unevenly these are asked for: the exponent of a Zipf distribution.
+    #[serde(default)]
+    #[schemars(range(min = 0.0, max = 10.0))]
+    pub zipf: f64,
+}
+
+/// The JSON Schema of the format.
+pub fn schema() -> serde_json::Value {
+    vetchbridge::config::check::schema_of::<Plan>()
+}
+
+impl Plan {
+    /// Reads a plan; every fault at once.
+    pub fn read(path: Option<&Path>) -> Result<Plan, Failure> {
+        let Some(path) = path else { return Plan::parse("the built-in plan", DEMO) };
+        let source = path.to_string_lossy();
+        let text =
+            std::fs::read_to_string(path).map_err(|error| Failure::BadInput(format!("{source}: {error}")))?;
+        Plan::parse(&source, &text)
+    }
+
+    /// Reads a plan's text.
+    pub fn parse(source: &str, text: &str) -> Result<Plan, Failure> {
+        let faults = |faults: Vec<Fault>| {
+            let lines: Vec<String> = faults.iter().map(Fault::to_string).collect();
+            Failure::BadInput(lines.join("\n"))
+        };
+        let plan: Plan = hold(source, text, &schema()).map_err(faults)?;
+        let (text, _) = Text::parse(source, text);
+        let mut found = Vec::new();
+        let one_of = |names: &[String]| format!("one of {}", names.join(", "));
+        let (zones, kinds) = (&plan.daemon.fleet.zones, &plan.daemon.fleet.kinds);
+        for (at, peers) in plan.peers.iter().enumerate() {
+            if !kinds.contains(&peers.kind) {
+                found.push(text.fault(
+                    &format!("peers[{at}].kind"),
+                    "not in daemon.fleet.kinds",
+                    one_of(kinds),
+                ));
+            }
+            if peers.zone.as_ref().is_some_and(|zone| !zones.contains(zone)) {
+                found.push(text.fault(
+                    &format!("peers[{at}].zone"),
+                    "not in daemon.fleet.zones",
+                    one_of(zones),
+                ));
+            }
+            if plan.peers[..at].iter().any(|other| other.prefix == peers.prefix) {
+                found.push(text.fault(
+                    &format!("peers[{at}].prefix"),
+                    "is there already",
+                    "a prefix of its own",
+                ));
+            }
+        }
+        let classes: Vec<String> = plan.daemon.class.iter().map(|class| class.name.clone()).collect();
+        for (at, class) in plan.load.class.iter().enumerate() {
+            if !classes.contains(&class.name) {
+                found.push(text.fault(
+                    &format!("load.class[{at}].name"),
+                    "not in daemon.class",
+                    one_of(&classes),
+                ));
+            }
+        }
+        if plan.peers.is_empty() {
+            found.push(text.fault(
+                "peers",
+                "the list of peers is empty",
+                "add a [[peers]] with prefix, count, kind and slots",
+            ));
+        }
+        if !found.is_empty() {
+            return Err(faults(found));
+        }
+        // What the daemon would refuse is refused here, before anything is started.
+        let text = plan.scheduler(0, &[([127, 0, 0, 1], 1).into()], ([127, 0, 0, 1], 1).into(), &[]).1;
+        if let Err(error) =
+            vetchbridge::config::read_text(&format!("{source}, as a scheduler is told"), &text)
+        {
+            return Err(faults(error.0));
+        }
+        if let Err(error) = platform::arrivals::Arrivals::new(&plan.load_spec()) {
+            return Err(Failure::BadInput(format!("{source}: load.{}: {}", error.key, error.reason)));
+        }
+        Ok(plan)
+    }
+
+    /// The peers, in their order.
+    pub fn peer_specs(&self) -> Vec<PeerSpec> {
+        let zones = &self.daemon.fleet.zones;
+        let window = self.daemon.class.iter().filter_map(|class| class.window).max().unwrap_or(Span::s(15));
+        let all = self.peers.iter().flat_map(|peers| (0..peers.count).map(move |number| (peers, number)));
+        let spec = |(at, (peers, number)): (usize, (&Peers, usize))| PeerSpec {
+            zone: peers.zone.clone().unwrap_or_else(|| zones[at % zones.len()].clone()),
+            kind: peers.kind.clone(),
+            weight: peers.weight,
+            slots: peers.slots,
+            queue: peers.queue,
+            speed: peers.speed,
+            cold_share: peers.cold_share,
+            cold_time: peers.cold_time.duration(),
+            progress: self.daemon.fleet.progress.duration(),
+            idle: self.daemon.fleet.conn_idle.duration(),
+            window: window.duration(),
+            ..PeerSpec::new(&format!("{}-{number}", peers.prefix))
+        };
+        all.enumerate().map(spec).collect()
+    }
+
+    /// The load in the clients' terms.
+    pub fn load_spec(&self) -> LoadSpec {
+        let class = |load: &LoadClass| {
+            let class = self.daemon.class.iter().find(|class| class.name == load.name)?;
+            Some(ClassLoad {
+                name: load.name.clone(),
+                share: load.share,
+                worth: class.worth,
+                work: load.work.duration(),
+                spread: load.spread,
+                aim: class.aim.duration(),
+                stretch: class.stretch,
+                deadline: class.deadline.duration(),
+                repeat: match class.repeat {
+                    file::Repeat::Safe => Repeat::Safe,
+                    file::Repeat::Unsafe => Repeat::Unsafe,
+                    file::Repeat::Keyed => Repeat::Keyed(class.window.map_or(Duration::ZERO, Span::duration)),
+                },
+                objects: load.objects,
+                zipf: load.zipf,
+            })
+        };
+        LoadSpec {
+            seed: self.seed,
+            rate: self.load.rate,
+            classes: self.load.class.iter().filter_map(class).collect(),
+            retries: self.load.retries,
+            pause: self.load.pause.duration(),
+        }
+    }
+
+    /// What a scheduler is told: its name, and its file.
+    pub fn scheduler(
+        &self,
+        number: usize,
+        listen: &[std::net::SocketAddr],
+        discovery: std::net::SocketAddr,
+        known: &[(PeerSpec, std::net::SocketAddr)],
+    ) -> (String, String) {
+        use vetchbridge::config::units::{Address, Seed};
+        let mut file = self.daemon.clone();
+        file.name = format!("n{number}");
+        file.listen = Address(listen[number]);
+        file.discovery = Some(Address(discovery));
+        file.seed = Some(Seed(self.seed.wrapping_mul(0x9e37_79b9_7f4a_7c15).wrapping_add(number as u64)));
+        file.tier.me = number as u32;
+        file.tier.schedulers = self.schedulers.count as u32;
+        file.tier.zone = Some(file.fleet.zones[number % file.fleet.zones.len()].clone());
+        let peer = |(spec, address): &(PeerSpec, std::net::SocketAddr)| file::Peer {
+            name: spec.name.clone(),
+            address: Address(*address),
+            zone: Some(spec.zone.clone()),
+            kind: Some(spec.kind.clone()),
+            cell: spec.cell,
+            weight: spec.weight,
+        };
+        file.peer = known.iter().map(peer).collect();
+        // A File is plain data, which TOML can always hold.
+        let text = toml::to_string(&file).unwrap_or_default();
+        (file.name, text)
+    }
+
+    /// Where a scheduler's file may be kept.
+    pub fn file_name(number: usize) -> PathBuf {
+        PathBuf::from(format!("n{number}.toml"))
+    }
+}
--- /dev/null
+++ b/crates/vetchkit/src/report.rs
@@ -0,0 +1,194 @@
+//! What a load came to, as a table for people and as JSON for programs. Owns the figures' names; it must never
+//! measure anything.
+
+use comfy_table::{presets, Table};
+use hdrhistogram::Histogram;
+use platform::account::{judge, Answers, Outage};
+use platform::arrivals::ClassLoad;
+use platform::client::{JobRecord, LoadRecord, Outcome};
+use platform::runs::Run;
+use serde::Serialize;
+use std::time::Duration;
+
+/// A load that ran so late was not what was asked for: the machine, not the schedulers, made its clients wait.
+pub const LAG_LIMIT: Duration = Duration::from_millis(100);
+
+/// One class's figures; latencies in milliseconds, from when a job should have been sent.
+#[derive(Debug, Serialize)]
+pub struct ClassFigures {
+    /// Its name.
+    pub class: String,
+    /// Jobs.
+    pub jobs: u64,
+    /// Jobs served in the end.
+    pub served: u64,
+    /// Of those, in time.
+    pub in_time: u64,
+    /// Quantiles of the time until they were served.
+    pub p50_ms: f64,
+    /// The 90th of a hundred.
+    pub p90_ms: f64,
+    /// The 99th of a hundred.
+    pub p99_ms: f64,
+    /// The longest.
+    pub max_ms: f64,
+}
+
+/// See the head of this file.
+#[derive(Debug, Serialize)]
+pub struct Report {
+    /// Jobs that clients had.
+    pub jobs: u64,
+    /// Tries that they made of them.
+    pub tries: u64,
+    /// Answers to tries.
+    pub answers: Answers,
+    /// Attempts that reached peers, for each job; absent where the peers are not ours.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub attempts_per_job: Option<f64>,
+    /// Repeats of keyed jobs that peers dropped.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub repeats_dropped: Option<u64>,
+    /// The share of an object's jobs at the peer that ran most of them.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub affinity: Option<f64>,
+    /// Worth answered in time over worth asked for.
+    pub service: f64,
+    /// Figures of each class.
+    pub classes: Vec<ClassFigures>,
+    /// The longest time by which the load itself ran late.
+    pub lag_ms: f64,
+    /// Tries that found no descriptor.
+    pub out_of_descriptors: u64,
+    /// Broken rules; each job had exactly one final answer if there is none.
+    pub violations: Vec<String>,
+}
+
+fn ms(time: Duration) -> f64 {
+    (time.as_secs_f64() * 1e5).round() / 1e2
+}
+
+/// What the peers of a stage saw.
+pub struct PeerSide {
+    /// What they ran.
+    pub runs: Vec<Run>,
+    /// Attempts that arrived, and repeats dropped.
+    pub counts: (u64, u64),
+}
+
+impl Report {
+    /// Reckons up a load; without peers of ours, from the clients' side alone.
+    pub fn of(
+        classes: &[ClassLoad],
+        record: &LoadRecord,
+        peers: Option<&PeerSide>,
+        outages: &[Outage],
+    ) -> Report {
+        let verdict = judge(classes, &record.jobs, peers.map(|peers| peers.runs.as_slice()), outages);
+        let jobs = record.jobs.len() as u64;
+        let tries = record.jobs.iter().map(|job| job.tries.len() as u64).sum();
+        let no_descriptor =
+            |outcome: &Outcome| matches!(outcome, Outcome::Broken(why) if why.contains("os error 24"));
+        let outcomes = record.jobs.iter().flat_map(|job| &job.tries).map(|one| &one.outcome);
+        Report {
+            jobs,
+            tries,
+            answers: verdict.answers,
+            attempts_per_job: peers.map(|peers| peers.counts.0 as f64 / jobs.max(1) as f64),
+            repeats_dropped: peers.map(|peers| peers.counts.1),
+            affinity: peers.map(|_| verdict.affinity),
+            service: verdict.service,
+            classes: classes.iter().enumerate().map(|(at, class)| figures(class, at, &record.jobs)).collect(),
+            lag_ms: ms(record.lag),
+            out_of_descriptors: outcomes.filter(|outcome| no_descriptor(outcome)).count() as u64,
+            violations: verdict.violations.iter().map(ToString::to_string).collect(),
+        }
+    }
+
+    /// Whether the machine could hold the load; if not, why its latencies say little.
+    pub fn machine_fault(&self) -> Option<String> {
+        if self.out_of_descriptors > 0 {
+            let text = "tries found no descriptor: raise the limit (ulimit -n) or lower the load";
+            return Some(format!("{} {text}", self.out_of_descriptors));
+        }
+        (self.lag_ms > ms(LAG_LIMIT)).then(|| {
+            format!(
+                "the load ran up to {:.0} ms late: this machine cannot hold the rate, and the latencies are not the \
+                 schedulers' alone",
+                self.lag_ms
+            )
+        })
+    }
+
+    /// As tables.
+    pub fn text(&self) -> String {
+        let mut all = Table::new();
+        all.load_style(presets::UTF8_BORDERS_ONLY);
+        let mut row = |name: &str, value: String| {
+            all.add_row(vec![name.to_string(), value]);
+        };
+        let Answers { served, refused, failed, lost, none } = self.answers;
+        row("jobs", self.jobs.to_string());
+        row("tries", self.tries.to_string());
+        row("answers", format!("{served} served, {refused} refused, {failed} failed"));
+        row("without an answer", format!("{lost} lost with a scheduler, {none} timed out"));
+        let verdict = match self.violations.len() {
+            0 => "held: one final answer each".to_string(),
+            n => format!("BROKEN, {n} times"),
+        };
+        row("exactly once", verdict);
+        row("service", format!("{:.3} of the worth asked for, in time", self.service));
+        if let Some(attempts) = self.attempts_per_job {
+            row("attempts a job", format!("{attempts:.3}"));
+        }
+        if let Some(dropped) = self.repeats_dropped {
+            row("keyed repeats dropped", dropped.to_string());
+        }
+        if let Some(affinity) = self.affinity {
+            row("affinity", format!("{affinity:.3} of an object's jobs at its first peer"));
+        }
+        row("load ran late by", format!("{:.1} ms at most", self.lag_ms));
+        let mut classes = Table::new();
+        classes.load_style(presets::UTF8_BORDERS_ONLY);
+        classes
+            .set_header(vec!["class", "jobs", "served", "in time", "p50 ms", "p90 ms", "p99 ms", "max ms"]);
+        for class in &self.classes {
+            let counts = [class.jobs, class.served, class.in_time].map(|count| count.to_string());
+            let times =
+                [class.p50_ms, class.p90_ms, class.p99_ms, class.max_ms].map(|time| format!("{time:.1}"));
+            let cells = [vec![class.class.clone()], counts.to_vec(), times.to_vec()].concat();
+            classes.add_row(cells);
+        }
+        let mut text = format!("{all}\n{classes}\n");
+        for violation in self.violations.iter().take(10) {
+            text.push_str(&format!("broken: {violation}\n"));
+        }
+        if self.violations.len() > 10 {
+            text.push_str(&format!("and {} more\n", self.violations.len() - 10));
+        }
+        text
+    }
+}
+
+fn figures(class: &ClassLoad, at: usize, jobs: &[JobRecord]) -> ClassFigures {
+    let jobs: Vec<&JobRecord> = jobs.iter().filter(|job| job.arrival.class == at).collect();
+    // Microseconds up to an hour, to three digits; the bounds are constants that hdrhistogram takes.
+    let mut times: Histogram<u64> =
+        Histogram::new_with_bounds(1, 3_600_000_000, 3).unwrap_or_else(|error| unreachable!("{error}"));
+    let mut in_time = 0;
+    for job in jobs.iter().filter(|job| job.served()) {
+        times.saturating_record(job.latency().as_micros() as u64);
+        in_time += u64::from(job.latency() <= class.aim + job.arrival.work.mul_f64(class.stretch));
+    }
+    let at = |quantile: f64| ms(Duration::from_micros(times.value_at_quantile(quantile)));
+    ClassFigures {
+        class: class.name.clone(),
+        jobs: jobs.len() as u64,
+        served: times.len(),
+        in_time,
+        p50_ms: at(0.5),
+        p90_ms: at(0.9),
+        p99_ms: at(0.99),
+        max_ms: ms(Duration::from_micros(times.max())),
+    }
+}
--- /dev/null
+++ b/crates/vetchkit/src/runner.rs
@@ -0,0 +1,178 @@
+//! A load under way: its progress, its interruption, and troubles along it.
+//!
+//! Owns the bar or the lines of progress, and what Ctrl-C does: the first ends the load cleanly, the second ends the
+//! program at once. It must never decide whether the load went well.
+
+use crate::stage::Stage;
+use crate::{machine, Failure};
+use indicatif::{ProgressBar, ProgressStyle};
+use platform::account::Outage;
+use platform::client::{Clients, LoadRecord, Standing};
+use std::future::Future;
+use std::io::IsTerminal;
+use std::time::Duration;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::watch;
+use tokio::time::{sleep, sleep_until, Instant};
+
+/// Between two lines of progress where there is no terminal.
+const LINE_EVERY: Duration = Duration::from_secs(5);
+/// A killed scheduler comes back after this.
+const DOWN: Duration = Duration::from_secs(2);
+/// How long, beyond the front's notice, clients may still be sent to a dead scheduler: its last question and answer.
+const NOTICE_SLACK: Duration = Duration::from_millis(700);
+
+/// Turns signals into a wish to stop; a second one ends the program, and its children with it.
+pub struct Interrupt {
+    stop: watch::Sender<bool>,
+    _watch: platform::Owned,
+}
+
+impl Interrupt {
+    /// Listens for Ctrl-C and SIGTERM from now on; every child is killed when the program ends at once.
+    pub fn listen() -> Result<Interrupt, Failure> {
+        let mut interrupt = signal(SignalKind::interrupt()).map_err(machine("signals"))?;
+        let mut terminate = signal(SignalKind::terminate()).map_err(machine("signals"))?;
+        let stop = watch::Sender::new(false);
+        let told = stop.clone();
+        let watch = platform::Owned::spawn(async move {
+            for times in 0.. {
+                tokio::select! {
+                    _ = interrupt.recv() => {}
+                    _ = terminate.recv() => {}
+                }
+                if times > 0 {
+                    crate::scheduler::kill_all();
+                    std::process::exit(130);
+                }
+                eprintln!("stopping; once more ends at once");
+                told.send_replace(true);
+            }
+        });
+        Ok(Interrupt { stop, _watch: watch })
+    }
+
+    /// Resolves once it was asked to stop.
+    pub async fn asked(&self) {
+        let _ = self.stop.subscribe().wait_for(|stop| *stop).await;
+    }
+
+    /// Carries something out unless it is asked to stop meanwhile.
+    pub async fn unless_asked<T>(
+        &self,
+        work: impl Future<Output = Result<T, Failure>>,
+    ) -> Result<T, Failure> {
+        tokio::select! {
+            done = work => done,
+            () = self.asked() => Err(Failure::Missed("stopped".to_string())),
+        }
+    }
+
+    /// For whoever has to stop.
+    pub fn subscribe(&self) -> watch::Receiver<bool> {
+        self.stop.subscribe()
+    }
+}
+
+/// Progress as a bar on a terminal and as plain lines elsewhere, on standard error.
+pub struct Progress {
+    bar: Option<ProgressBar>,
+    total: Duration,
+    last_line: Duration,
+}
+
+impl Progress {
+    /// For something that takes so long.
+    pub fn new(total: Duration) -> Progress {
+        let bar = std::io::stderr().is_terminal().then(|| {
+            let bar = ProgressBar::new(total.as_millis() as u64);
+            if let Ok(style) = ProgressStyle::with_template("{bar:40} {msg}") {
+                bar.set_style(style);
+            }
+            bar
+        });
+        Progress { bar, total, last_line: Duration::ZERO }
+    }
+
+    /// Shows how a load stands.
+    pub fn show(&mut self, at: Standing) {
+        let text = format!(
+            "{:.0} of {:.0} s, {} sent, {} out",
+            at.elapsed.as_secs_f64(),
+            self.total.as_secs_f64(),
+            at.sent,
+            at.sent - at.ended
+        );
+        match &self.bar {
+            Some(bar) => {
+                bar.set_position(at.elapsed.min(self.total).as_millis() as u64);
+                bar.set_message(text);
+            }
+            None if at.elapsed >= self.last_line + LINE_EVERY => {
+                self.last_line = at.elapsed;
+                eprintln!("{text}");
+            }
+            None => {}
+        }
+    }
+}
+
+impl Drop for Progress {
+    fn drop(&mut self) {
+        if let Some(bar) = &self.bar {
+            bar.finish_and_clear();
+        }
+    }
+}
+
+/// Runs a load against a stage, killing `kills` schedulers by SIGKILL along it, each back after 2 s.
+pub async fn run(
+    stage: &mut Stage,
+    clients: Clients,
+    duration: Duration,
+    kills: usize,
+    interrupt: &Interrupt,
+) -> Result<(LoadRecord, Vec<Outage>), Failure> {
+    let mut progress = Progress::new(duration);
+    let began = Instant::now();
+    let offset = began.duration_since(stage.began);
+    let load = clients.run(began, duration, interrupt.subscribe(), move |standing| progress.show(standing));
+    let mut outages = Vec::new();
+    let notice = NOTICE_SLACK;
+    let troubles = async {
+        for number in 0..kills {
+            sleep_until(began + duration.mul_f64((number + 1) as f64 / (kills + 1) as f64)).await;
+            let victim = number % stage.schedulers.len();
+            let scheduler = &mut stage.schedulers[victim];
+            let from = began.elapsed();
+            scheduler.kill().await;
+            let noticed = from + stage.front.notice() + notice;
+            outages.push(Outage { from, until: noticed });
+            sleep(DOWN).await;
+            scheduler.restart()?;
+        }
+        Ok::<(), Failure>(())
+    };
+    tokio::pin!(load);
+    let record = tokio::select! {
+        record = &mut load => record,
+        troubled = troubles => {
+            troubled?;
+            load.await
+        }
+    };
+    let mut record = record.map_err(|error| Failure::BadInput(error.to_string()))?;
+    stage.all_live()?;
+    // The peers' account began with the stage, the clients' with the load.
+    let shift = |time: Duration| time + offset;
+    for job in &mut record.jobs {
+        job.arrival.at = shift(job.arrival.at);
+        for one in &mut job.tries {
+            (one.sent, one.ended) = (shift(one.sent), shift(one.ended));
+        }
+    }
+    for outage in &mut outages {
+        (outage.from, outage.until) = (shift(outage.from), shift(outage.until));
+    }
+    Ok((record, outages))
+}
--- /dev/null
+++ b/crates/vetchkit/src/scheduler.rs
@@ -0,0 +1,166 @@
+//! A scheduler as a child process: the daemon's own binary, its file and its log.
+//!
+//! Owns the child; dropping it kills the child. It must never read more of the log than the line that says it listens.
+
+use crate::{machine, Failure};
+use rustix::process::{kill_process, Pid, Signal};
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::os::unix::process::ExitStatusExt;
+use std::path::{Path, PathBuf};
+use std::process::{ExitStatus, Stdio};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::process::{Child, Command};
+use tokio::time::timeout;
+
+/// How long one may take to end after SIGTERM; it gives up what is open after 3.3 s.
+const END_WITHIN: Duration = Duration::from_secs(6);
+
+/// Every child that runs now, for an end that cannot wait for destructors.
+static CHILDREN: Mutex<BTreeSet<u32>> = Mutex::new(BTreeSet::new());
+
+fn children() -> MutexGuard<'static, BTreeSet<u32>> {
+    CHILDREN.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Kills every child at once; the program is about to end.
+pub fn kill_all() {
+    for pid in children().iter().filter_map(|pid| Pid::from_raw(*pid as i32)) {
+        let _ = kill_process(pid, Signal::KILL);
+    }
+}
+
+/// A child that runs, and its place among all of them.
+struct Running {
+    child: Child,
+    pid: u32,
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        children().remove(&self.pid);
+    }
+}
+
+/// See the head of this file.
+pub struct Scheduler {
+    binary: PathBuf,
+    config: PathBuf,
+    log: PathBuf,
+    address: SocketAddr,
+    extra: Vec<String>,
+    running: Option<Running>,
+}
+
+/// The daemon's binary: the one named, or the one beside the kit's own.
+pub fn binary(named: Option<&Path>) -> Result<PathBuf, Failure> {
+    let path = match named {
+        Some(path) => path.to_path_buf(),
+        None => std::env::current_exe().map_err(machine("the kit's own path"))?.with_file_name("vetchbridge"),
+    };
+    if path.is_file() {
+        return Ok(path);
+    }
+    let remedy = "build it with `make build`, or name it with --daemon FILE";
+    Err(Failure::Machine(format!("{}: there is no daemon here; {remedy}", path.display())))
+}
+
+impl Scheduler {
+    /// Starts one; its log goes to a file beside its configuration.
+    pub fn start(
+        binary: &Path,
+        config: &Path,
+        address: SocketAddr,
+        extra: &[String],
+    ) -> Result<Scheduler, Failure> {
+        let mut scheduler = Scheduler {
+            binary: binary.to_path_buf(),
+            config: config.to_path_buf(),
+            log: config.with_extension("log"),
+            address,
+            extra: extra.to_vec(),
+            running: None,
+        };
+        scheduler.restart()?;
+        Ok(scheduler)
+    }
+
+    /// Starts it again after its end, at its address; the log goes on.
+    pub fn restart(&mut self) -> Result<(), Failure> {
+        let log = std::fs::OpenOptions::new().create(true).append(true).open(&self.log);
+        let log = log.map_err(machine("a scheduler's log"))?;
+        let mut command = Command::new(&self.binary);
+        command.arg("serve").arg("--config").arg(&self.config).args(&self.extra);
+        // Its own group: a Ctrl-C is the kit's to pass on.
+        command.env_clear().stdin(Stdio::null()).stdout(Stdio::null()).stderr(log).process_group(0);
+        let child = command.kill_on_drop(true).spawn();
+        let child = child.map_err(|error| Failure::Machine(format!("{}: {error}", self.binary.display())))?;
+        let pid = child.id().unwrap_or_default();
+        children().insert(pid);
+        self.running = Some(Running { child, pid });
+        Ok(())
+    }
+
+    /// Its address.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Its log.
+    pub fn log(&self) -> &Path {
+        &self.log
+    }
+
+    /// Its process, while it runs.
+    pub fn pid(&self) -> Option<u32> {
+        self.running.as_ref().and_then(|running| running.child.id())
+    }
+
+    /// How it ended, if it has ended unasked.
+    pub fn ended(&mut self) -> Option<ExitStatus> {
+        self.running.as_mut()?.child.try_wait().ok().flatten()
+    }
+
+    /// Kills it at once, as a power cut would.
+    pub async fn kill(&mut self) {
+        if let Some(mut running) = self.running.take() {
+            let _ = running.child.kill().await;
+        }
+    }
+
+    /// Ends it gracefully; says how it ended.
+    pub async fn end(&mut self) -> Option<ExitStatus> {
+        let mut running = self.running.take()?;
+        if let Some(pid) = running.child.id().and_then(|id| Pid::from_raw(id as i32)) {
+            let _ = kill_process(pid, Signal::TERM);
+        }
+        match timeout(END_WITHIN, running.child.wait()).await {
+            Ok(status) => status.ok(),
+            Err(_) => {
+                let _ = running.child.kill().await;
+                Some(ExitStatus::from_raw(9))
+            }
+        }
+    }
+
+    /// The last lines of its log, for a message about its end.
+    pub fn last_words(&self) -> String {
+        let text = std::fs::read_to_string(&self.log).unwrap_or_default();
+        let lines: Vec<&str> = text.lines().collect();
+        lines[lines.len().saturating_sub(3)..].join("\n")
+    }
+}
+
+/// Processor time that a process's main thread has used; the daemon has no other.
+pub fn cpu_time(pid: u32) -> Option<Duration> {
+    let text = std::fs::read_to_string(format!("/proc/{pid}/schedstat")).ok()?;
+    text.split(' ').next()?.parse().ok().map(Duration::from_nanos)
+}
+
+/// Its resident memory in KiB.
+pub fn memory_kib(pid: u32) -> Option<u64> {
+    let text = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
+    let line = text.lines().find(|line| line.starts_with("VmRSS:"))?;
+    line.split_whitespace().nth(1)?.parse().ok()
+}
--- /dev/null
+++ b/crates/vetchkit/src/stage.rs
@@ -0,0 +1,138 @@
+//! The stage: a whole platform on one machine, with schedulers as child processes.
+//!
+//! Owns everything that was started; dropping it ends all of it. It must never judge what happens on it.
+
+use crate::plan::Plan;
+use crate::scheduler::{binary, Scheduler};
+use crate::{machine, Failure};
+use platform::discovery::Discovery;
+use platform::front::Front;
+use platform::peer::Peer;
+use platform::runs::Runs;
+use platform::Port;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+use tokio::time::{interval, Instant};
+
+/// How long the schedulers may take until all of them are ready.
+const READY_WITHIN: Duration = Duration::from_secs(15);
+
+/// See the head of this file.
+pub struct Stage {
+    /// The schedulers, in their order.
+    pub schedulers: Vec<Scheduler>,
+    /// The peers.
+    pub peers: Vec<Peer>,
+    /// Discovery.
+    pub discovery: Discovery,
+    /// What the peers ran.
+    pub runs: Runs,
+    /// Where clients connect.
+    pub front: Front,
+    /// When the account of runs began.
+    pub began: Instant,
+    folder: Folder,
+    _ports: Vec<Port>,
+}
+
+/// Where files and logs are kept: a folder that was named, or one that goes with the stage.
+enum Folder {
+    Named(PathBuf),
+    Passing(tempfile::TempDir),
+}
+
+impl Stage {
+    /// Starts everything and waits until every scheduler is ready.
+    pub async fn set(
+        plan: &Plan,
+        daemon: Option<&Path>,
+        logs: Option<&Path>,
+        extra: &[String],
+    ) -> Result<Stage, Failure> {
+        let binary = binary(daemon)?;
+        let folder = match logs {
+            Some(path) => {
+                std::fs::create_dir_all(path).map_err(machine("the folder for logs"))?;
+                Folder::Named(path.to_path_buf())
+            }
+            None => Folder::Passing(tempfile::tempdir().map_err(machine("a folder for logs"))?),
+        };
+        let (runs, began, count) = (Runs::default(), Instant::now(), plan.schedulers.count);
+        let ports = (0..count).map(|_| Port::reserve()).collect::<Result<Vec<_>, _>>();
+        let ports = ports.map_err(machine("ports for the schedulers"))?;
+        let addresses: Vec<SocketAddr> = ports.iter().map(Port::address).collect();
+        let discovery = Discovery::start(count).await.map_err(machine("discovery"))?;
+        let mut peers = Vec::new();
+        for spec in plan.peer_specs() {
+            let peer = Peer::start_at(spec, runs.clone(), &addresses, began).await;
+            let peer = peer.map_err(machine("a peer"))?;
+            discovery.up(&peer);
+            peers.push(peer);
+        }
+        discovery.lateness(plan.schedulers.lateness.duration());
+        let front = Front::start(&addresses, plan.schedulers.notice.duration())
+            .await
+            .map_err(machine("the front"))?;
+        let mut stage =
+            Stage { schedulers: Vec::new(), peers, discovery, runs, front, began, folder, _ports: ports };
+        for number in 0..count {
+            let known: Vec<_> =
+                stage.peers.iter().map(|p| (p.spec().clone(), p.addresses()[number])).collect();
+            let (_, text) = plan.scheduler(number, &addresses, stage.discovery.address(number), &known);
+            let path = stage.folder().join(Plan::file_name(number));
+            std::fs::write(&path, text).map_err(machine("a scheduler's configuration"))?;
+            stage.schedulers.push(Scheduler::start(&binary, &path, addresses[number], extra)?);
+        }
+        stage.ready().await?;
+        Ok(stage)
+    }
+
+    /// Where files and logs are.
+    pub fn folder(&self) -> &Path {
+        match &self.folder {
+            Folder::Named(path) => path,
+            Folder::Passing(folder) => folder.path(),
+        }
+    }
+
+    /// Waits until the front deals to every scheduler.
+    pub async fn ready(&mut self) -> Result<(), Failure> {
+        let (asked, mut every) = (Instant::now(), interval(Duration::from_millis(20)));
+        while self.front.dealt_to() < self.schedulers.len() {
+            every.tick().await;
+            self.all_live()?;
+            if asked.elapsed() > READY_WITHIN {
+                let ready = self.front.dealt_to();
+                let text =
+                    format!("{ready} of {} schedulers ready after {READY_WITHIN:?}", self.schedulers.len());
+                return Err(Failure::Machine(text));
+            }
+        }
+        Ok(())
+    }
+
+    /// Whether every scheduler that should run does.
+    pub fn all_live(&mut self) -> Result<(), Failure> {
+        for (number, scheduler) in self.schedulers.iter_mut().enumerate() {
+            if let Some(status) = scheduler.ended() {
+                let words = scheduler.last_words();
+                return Err(Failure::Machine(format!(
+                    "scheduler {number} ended unasked, {status}:\n{words}"
+                )));
+            }
+        }
+        Ok(())
+    }
+
+    /// Ends every scheduler gracefully, all at once; those that did not end well are named.
+    pub async fn end(mut self) -> Vec<String> {
+        let mut ends = tokio::task::JoinSet::new();
+        for (number, mut scheduler) in self.schedulers.drain(..).enumerate() {
+            ends.spawn(async move { (number, scheduler.end().await) });
+        }
+        let ended = ends.join_all().await;
+        let bad = ended.into_iter().filter(|(_, status)| status.is_some_and(|status| !status.success()));
+        bad.map(|(number, status)| format!("scheduler {number} ended badly: {status:?}")).collect()
+    }
+}
