--- a/crates/platform/src/account.rs
+++ b/crates/platform/src/account.rs
@@ -58,8 +58,10 @@
     pub refused: u64,
     /// Failed.
     pub failed: u64,
-    /// Lost with a scheduler.
+    /// Connection broken without an answer.
     pub lost: u64,
+    /// Never taken: no connection was made.
+    pub unreachable: u64,
     /// None at all.
     pub none: u64,
 }
@@ -111,6 +113,7 @@
                 }
                 Outcome::Refused => verdict.answers.refused += 1,
                 Outcome::Failed(_) => verdict.answers.failed += 1,
+                Outcome::Unreachable(_) => verdict.answers.unreachable += 1,
                 Outcome::Broken(_) if excused(one) => verdict.answers.lost += 1,
                 Outcome::Broken(_) => {
                     verdict.answers.lost += 1;
@@ -234,10 +237,12 @@
     /// A check that can't fail is none: each rule, broken once, is named; the sound day names none.
     #[test]
     fn each_broken_rule_is_found_and_a_sound_day_has_none() {
-        let cases: [(Break, Option<Violation>); 11] = [
+        let cases: [(Break, Option<Violation>); 12] = [
             (|_, _| {}, None),
             (|jobs, _| jobs[0].tries[0].outcome = Outcome::Unanswered, Some(Violation::Unanswered(0))),
             (|jobs, _| jobs[0].tries[0].outcome = Outcome::Broken(String::new()), Some(Violation::Lost(0))),
+            // Nothing was taken, so nothing is owed.
+            (|jobs, _| jobs[0].tries[0].outcome = Outcome::Unreachable(String::new()), None),
             (
                 |jobs, _| jobs[0].tries[0].outcome = Outcome::Served("made up".to_string()),
                 Some(Violation::Foreign(0)),
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -31,7 +31,9 @@
     Refused,
     /// Any other status.
     Failed(u16),
-    /// The connection broke, or was never made.
+    /// No connection was made, so nothing was taken.
+    Unreachable(String),
+    /// The connection broke.
     Broken(String),
     /// Nothing, until the client gave up.
     Unanswered,
@@ -251,6 +253,7 @@
 ) -> (Outcome, Option<Duration>) {
     let response = match http.request(request).await {
         Ok(response) => response,
+        Err(error) if error.is_connect() => return (Outcome::Unreachable(reason(&error)), None),
         Err(error) => return (Outcome::Broken(reason(&error)), None),
     };
     let status = response.status();
@@ -259,7 +262,7 @@
     let advice = advice.filter(|seconds| (0.0..3600.0).contains(seconds)).map(Duration::from_secs_f64);
     let body = match response.into_body().collect().await {
         Ok(body) => body.to_bytes(),
-        Err(error) => return (Outcome::Broken(error.to_string()), None),
+        Err(error) => return (Outcome::Broken(reason(&error)), None),
     };
     let outcome = match status {
         StatusCode::OK => Outcome::Served(String::from_utf8_lossy(&body).into_owned()),
--- a/crates/vetchkit/src/cli.rs
+++ b/crates/vetchkit/src/cli.rs
@@ -351,6 +351,9 @@
     if !report.violations.is_empty() {
         return Err(Failure::Missed(format!("{} rules were broken", report.violations.len())));
     }
+    if report.answers.served == 0 && report.jobs > 0 {
+        return Err(Failure::Missed("nothing was served".to_string()));
+    }
     if let Some(fault) = report.machine_fault() {
         return Err(Failure::Machine(fault));
     }
--- a/crates/vetchkit/src/report.rs
+++ b/crates/vetchkit/src/report.rs
@@ -8,6 +8,7 @@
 use platform::client::{JobRecord, LoadRecord, Outcome};
 use platform::runs::Run;
 use serde::Serialize;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// A load that ran so late was not what was asked for: the machine, not the schedulers, made its clients wait.
@@ -58,8 +59,8 @@
     pub classes: Vec<ClassFigures>,
     /// The longest time by which the load itself ran late.
     pub lag_ms: f64,
-    /// Tries that found no descriptor.
-    pub out_of_descriptors: u64,
+    /// Tries without an answer by what their connections said.
+    pub causes: BTreeMap<String, u64>,
     /// Broken rules; each job had exactly one final answer if there is none.
     pub violations: Vec<String>,
 }
@@ -87,9 +88,12 @@
         let verdict = judge(classes, &record.jobs, peers.map(|peers| peers.runs.as_slice()), outages);
         let jobs = record.jobs.len() as u64;
         let tries = record.jobs.iter().map(|job| job.tries.len() as u64).sum();
-        let no_descriptor =
-            |outcome: &Outcome| matches!(outcome, Outcome::Broken(why) if why.contains("os error 24"));
-        let outcomes = record.jobs.iter().flat_map(|job| &job.tries).map(|one| &one.outcome);
+        let mut causes = BTreeMap::new();
+        for one in record.jobs.iter().flat_map(|job| &job.tries) {
+            if let Outcome::Broken(cause) | Outcome::Unreachable(cause) = &one.outcome {
+                *causes.entry(cause.clone()).or_default() += 1;
+            }
+        }
         Report {
             jobs,
             tries,
@@ -100,16 +104,18 @@
             service: verdict.service,
             classes: classes.iter().enumerate().map(|(at, class)| figures(class, at, &record.jobs)).collect(),
             lag_ms: ms(record.lag),
-            out_of_descriptors: outcomes.filter(|outcome| no_descriptor(outcome)).count() as u64,
+            causes,
             violations: verdict.violations.iter().map(ToString::to_string).collect(),
         }
     }
 
     /// Whether the machine could hold the load; if not, why its latencies say little.
     pub fn machine_fault(&self) -> Option<String> {
-        if self.out_of_descriptors > 0 {
+        let without: u64 =
+            self.causes.iter().filter(|(cause, _)| cause.contains("os error 24")).map(|(_, n)| n).sum();
+        if without > 0 {
             let text = "tries found no descriptor: raise the limit (ulimit -n) or lower the load";
-            return Some(format!("{} {text}", self.out_of_descriptors));
+            return Some(format!("{without} {text}"));
         }
         (self.lag_ms > ms(LAG_LIMIT)).then(|| {
             format!(
@@ -127,11 +133,11 @@
         let mut row = |name: &str, value: String| {
             all.add_row(vec![name.to_string(), value]);
         };
-        let Answers { served, refused, failed, lost, none } = self.answers;
+        let Answers { served, refused, failed, lost, unreachable, none } = self.answers;
         row("jobs", self.jobs.to_string());
         row("tries", self.tries.to_string());
         row("answers", format!("{served} served, {refused} refused, {failed} failed"));
-        row("without an answer", format!("{lost} lost with a scheduler, {none} timed out"));
+        row("without an answer", format!("{lost} lost, {unreachable} unreachable, {none} timed out"));
         let verdict = match self.violations.len() {
             0 => "held: one final answer each".to_string(),
             n => format!("BROKEN, {n} times"),
@@ -160,6 +166,9 @@
             classes.add_row(cells);
         }
         let mut text = format!("{all}\n{classes}\n");
+        for (cause, times) in &self.causes {
+            text.push_str(&format!("{times} times: {cause}\n"));
+        }
         for violation in self.violations.iter().take(10) {
             text.push_str(&format!("broken: {violation}\n"));
         }
