Remove a function of the stand-ins that nothing calls

Need: reading the whole change again showed that Wire::within has no caller. Change: it goes; nothing else does.

--- a/crates/platform/src/wire.rs
+++ b/crates/platform/src/wire.rs
@@ -4,7 +4,6 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
@@ -144,11 +143,4 @@
     pub fn reset(self) {
         let _ = self.stream.set_zero_linger();
     }
-
-    /// Writes without waiting for long; a side that does not read is left.
-    pub async fn within(&mut self, limit: Duration, text: &str) -> io::Result<()> {
-        tokio::time::timeout(limit, self.write(text))
-            .await
-            .unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
-    }
 }
