Let stand-in peers heed tells_start; test refusing, draining and forgetting; drop a trait

Cause: reading the change as a stranger. The plan's daemon.fleet.tells_start reached the schedulers and not the peers, which told of starts whatever it said. Refusing, draining and the act `Forget` had no test. A trait with one method of one line stood where the line does. Change: PeerSpec has tells_start and the plan sets it; a story for refusing and draining on a peer that tells no starts, a case for Forget; the trait and an alias are gone.

--- a/crates/platform/src/peer.rs
+++ b/crates/platform/src/peer.rs
@@ -59,6 +59,8 @@
     pub cold_share: f64,
     /// How long it takes to warm up.
     pub cold_time: Duration,
+    /// It tells when a job starts.
+    pub tells_start: bool,
     /// The time between two progress calls; zero for none.
     pub progress: Duration,
     /// Connections that it holds; the next is closed at once.
@@ -87,6 +89,7 @@
             speed: 1.0,
             cold_share: 0.2,
             cold_time: Duration::from_secs(24),
+            tells_start: true,
             progress: Duration::from_secs(1),
             connections: 1024,
             idle: Duration::from_secs(60),
@@ -421,7 +424,7 @@
         }
         let mut state = self.shared.state();
         if let Some(all) = state.open.get_mut(&self.id) {
-            all.retain(|sender| !sender.same_channel_as(&self.called_off));
+            all.retain(|sender| !sender.subscribe().same_channel(&self.called_off));
             if all.is_empty() {
                 state.open.remove(&self.id);
             }
@@ -429,17 +432,6 @@
     }
 }
 
-/// Whether a sender and a receiver belong together.
-trait SameChannel {
-    fn same_channel_as(&self, receiver: &watch::Receiver<bool>) -> bool;
-}
-
-impl SameChannel for watch::Sender<bool> {
-    fn same_channel_as(&self, receiver: &watch::Receiver<bool>) -> bool {
-        self.subscribe().same_channel(receiver)
-    }
-}
-
 impl Shared {
     fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
@@ -550,7 +542,9 @@
             }
         };
         place.run = Some(number);
-        words.send(("started", 0.0, String::new())).ok()?;
+        if self.spec.tells_start {
+            words.send(("started", 0.0, String::new())).ok()?;
+        }
         match act {
             Act::Lose => return word("lost", 0.0),
             Act::Fail => {
--- a/crates/platform/tests/stories.rs
+++ b/crates/platform/tests/stories.rs
@@ -70,6 +70,28 @@
     assert_eq!(stage.runs.all()[0].end, RunEnd::Finished);
 }
 
+#[rstest]
+#[timeout(HANG)]
+#[tokio::test]
+async fn a_peer_that_refuses_or_drains_takes_nothing_and_hands_back_what_waits() {
+    let spec = PeerSpec { slots: 1, tells_start: false, progress: Duration::ZERO, ..PeerSpec::new("s-0") };
+    let stage = Stage::set(spec).await;
+    let turned_away = async |id| {
+        let answer = stage.send(id, "", "").await.read().await.expect("an answer");
+        assert_eq!((answer.status(), answer.header("x-never-ran")), ("503", Some("1")));
+    };
+    stage.peer.refuse(true);
+    turned_away(1).await;
+    stage.peer.refuse(false);
+    for (id, work) in [(2, "work_us=600000000"), (3, "")] {
+        assert_eq!(stage.send(id, "", work).await.read().await.expect("an answer").status(), "202");
+    }
+    stage.peer.drain();
+    // The first word at all: what runs goes on, and this peer does not tell of starts.
+    assert_eq!(stage.told_state().await, "returned");
+    turned_away(4).await;
+}
+
 /// Work of any odd length comes to its end: a rest below the clock's grain once kept its slot for good.
 #[rstest]
 #[timeout(HANG)]
@@ -94,6 +116,7 @@
 #[case::lose(Act::Lose, Some("202"), &["started", "lost"])]
 #[case::fail(Act::Fail, Some("202"), &["started", "failed"])]
 #[case::hand_back(Act::HandBack, Some("202"), &["returned"])]
+#[case::forget(Act::Forget, Some("202"), &[])]
 #[case::repeat(Act::Repeat(3), Some("202"), &["started", "done", "done", "done"])]
 #[timeout(HANG)]
 #[tokio::test]
--- a/crates/vetchkit/src/plan.rs
+++ b/crates/vetchkit/src/plan.rs
@@ -247,6 +247,7 @@
             speed: peers.speed,
             cold_share: peers.cold_share,
             cold_time: peers.cold_time.duration(),
+            tells_start: self.daemon.fleet.tells_start,
             progress: self.daemon.fleet.progress.duration(),
             idle: self.daemon.fleet.conn_idle.duration(),
             window: window.duration(),
--- a/crates/vetchkit/src/runner.rs
+++ b/crates/vetchkit/src/runner.rs
@@ -138,7 +138,6 @@
     let offset = began.duration_since(stage.began);
     let load = clients.run(began, duration, interrupt.subscribe(), move |standing| progress.show(standing));
     let mut outages = Vec::new();
-    let notice = NOTICE_SLACK;
     let troubles = async {
         for number in 0..kills {
             sleep_until(began + duration.mul_f64((number + 1) as f64 / (kills + 1) as f64)).await;
@@ -146,7 +145,7 @@
             let scheduler = &mut stage.schedulers[victim];
             let from = began.elapsed();
             scheduler.kill().await;
-            let noticed = from + stage.front.notice() + notice;
+            let noticed = from + stage.front.notice() + NOTICE_SLACK;
             outages.push(Outage { from, until: noticed });
             sleep(DOWN).await;
             scheduler.restart()?;
