Add the operators' door and drains: health, quiesce, resume on a lifecycle of its own

Design: `lifecycle.rs` is a pure state machine (starting, serving, draining, drained, ending) with times passed in, and the one source of readiness, of whether an answer hangs up and of whether idle connections close; it takes the place of the four phases that only SIGTERM knew. `admin.rs` is a listener of its own with 16 places at most; a caller that says nothing makes room for one that comes. Way not taken: calls under a path of the clients' listener, since a flood or a full budget there would keep operators out, and clients could call them.

Also mended, found by the story: a connection that had never been answered could be closed with its first request unread once idle connections were being closed (`front.rs`, `graceful_shutdown` on a fresh connection). It is left for its first request now, whose answer closes it, or for the 2.5 s that a request may take.

--- /dev/null
+++ b/crates/vetchbridge/src/admin.rs
@@ -0,0 +1,208 @@
+//! The operators' door: a listener of its own, one line to a connection, one line back.
+//!
+//! Owns that listener, its callers and the words of both lines. Callers are few, each has so much time and so many
+//! bytes, and when all places are taken one that has said nothing makes room. It must never do more than ask the
+//! lifecycle, and never let a caller hold another up.
+
+use crate::life::Life;
+use crate::lifecycle::Refusal;
+use std::collections::VecDeque;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::AbortHandle;
+use tokio::time::timeout;
+use tracing::{debug, info, warn};
+
+/// The longest line, its end included.
+const LINE_LIMIT: usize = 256;
+/// How long a caller may take for its line. Some hold a connection for 4 s before they say anything whole.
+const LINE_WAIT: Duration = Duration::from_secs(5);
+/// How long an answered caller may go on talking; to close on what is unread would take the answer back.
+const LAST_WORDS: Duration = Duration::from_millis(200);
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// The most callers at once.
+const CALLERS: usize = 16;
+
+/// What can be asked.
+const CALLS: &str = "health, quiesce or resume";
+
+/// How many callers there may be at once where a process may hold so many descriptors.
+pub fn callers(sockets: usize) -> usize {
+    (sockets / 16).clamp(2, CALLERS)
+}
+
+/// The answer to one line, without its end.
+fn answer(line: &[u8], life: &Life) -> String {
+    let Ok(text) = std::str::from_utf8(line) else { return format!("fail not text; say {CALLS}") };
+    let mut words = text.split_ascii_whitespace();
+    let (call, more) = (words.next(), words.next());
+    if let (Some(call @ ("health" | "quiesce" | "resume")), Some(_)) = (call, more) {
+        return format!("fail {call} takes no further words");
+    }
+    let done = match call {
+        Some("health") => life.state().can_serve(),
+        Some("quiesce") => {
+            life.quiesce();
+            Ok(())
+        }
+        Some("resume") => life.resume(),
+        Some(_) => return format!("fail unknown call; say {CALLS}"),
+        None => return format!("fail empty call; say {CALLS}"),
+    };
+    match done {
+        Ok(()) => format!("ok {}", life.state().name()),
+        Err(Refusal::Starting) => "fail starting, it can't serve yet".to_string(),
+        Err(Refusal::Ending) => "fail ending".to_string(),
+    }
+}
+
+/// Reads a caller's line, up to its end or the caller's.
+async fn line(stream: &mut TcpStream, spoke: &AtomicBool) -> Result<Vec<u8>, &'static str> {
+    let (mut line, mut piece) = (Vec::new(), [0; LINE_LIMIT]);
+    loop {
+        let read = stream.read(&mut piece).await.map_err(|_| "fail the connection broke")?;
+        spoke.store(true, Ordering::Relaxed);
+        line.extend_from_slice(&piece[..read]);
+        if let Some(end) = line.iter().position(|byte| *byte == b'\n') {
+            line.truncate(end);
+            return if end < LINE_LIMIT { Ok(line) } else { Err("fail the line is too long") };
+        }
+        if line.len() >= LINE_LIMIT {
+            return Err("fail the line is too long");
+        }
+        if read == 0 {
+            return Ok(line);
+        }
+    }
+}
+
+async fn caller(mut stream: TcpStream, life: Arc<Life>, spoke: Arc<AtomicBool>) {
+    let words = match timeout(LINE_WAIT, line(&mut stream, &spoke)).await {
+        Ok(Ok(line)) => {
+            let words = answer(&line, &life);
+            info!(call = %String::from_utf8_lossy(&line).trim_end(), answer = words, "admin.called");
+            words
+        }
+        Ok(Err(words)) => words.to_string(),
+        Err(_) => "fail no whole line came in time".to_string(),
+    };
+    let said = timeout(LINE_WAIT, async {
+        stream.write_all(format!("{words}\n").as_bytes()).await?;
+        stream.shutdown().await
+    });
+    if !matches!(said.await, Ok(Ok(()))) {
+        return debug!(words, "admin.unheard");
+    }
+    let rest = async { while stream.read(&mut [0; LINE_LIMIT]).await.is_ok_and(|read| read > 0) {} };
+    let _ = timeout(LAST_WORDS, rest).await;
+}
+
+/// Answers callers until the program ends, at most so many at once.
+pub async fn serve(listener: TcpListener, life: Arc<Life>, most: usize) {
+    let mut callers: VecDeque<(Arc<AtomicBool>, AbortHandle)> = VecDeque::new();
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                warn!(%error, "admin.accept.failed");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        callers.retain(|(_, caller)| !caller.is_finished());
+        if callers.len() >= most {
+            // The longest silent first, then the longest there.
+            let silent = callers.iter().position(|(spoke, _)| !spoke.load(Ordering::Relaxed));
+            if let Some((_, displaced)) = callers.remove(silent.unwrap_or(0)) {
+                displaced.abort();
+                debug!("admin.displaced");
+            }
+        }
+        let spoke = Arc::new(AtomicBool::new(false));
+        let task = tokio::spawn(caller(stream, life.clone(), spoke.clone()));
+        callers.push_back((spoke, task.abort_handle()));
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::net::SocketAddr;
+
+    async fn door(life: &Arc<Life>, most: usize) -> SocketAddr {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("bound");
+        tokio::spawn(serve(listener, life.clone(), most));
+        address
+    }
+
+    async fn call(address: SocketAddr, line: &[u8]) -> String {
+        let mut stream = TcpStream::connect(address).await.expect("the door is there");
+        stream.write_all(line).await.expect("written");
+        if !line.contains(&b'\n') {
+            stream.shutdown().await.expect("half closed");
+        }
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).await.expect("an answer");
+        answer
+    }
+
+    /// Every kind of line has a stated answer, and what it says is true.
+    #[tokio::test]
+    async fn each_call_has_its_answer() {
+        let life = Arc::new(Life::begin(false));
+        let address = door(&life, 4).await;
+        assert_eq!(call(address, b"health\n").await, "fail starting, it can't serve yet\n");
+        life.started();
+        let long = [b"health".as_slice(), &[b' '; LINE_LIMIT], b"\n"].concat();
+        let cases: [(&[u8], &str, bool); 15] = [
+            (b"health\n", "ok serving\n", true),
+            (b"health\r\n", "ok serving\n", true),
+            (b" health\n", "ok serving\n", true),
+            (b"health", "ok serving\n", true),
+            (b"quiesce\n", "ok draining\n", false),
+            (b"quiesce\nresume\n", "ok draining\n", false),
+            (b"health\n", "ok draining\n", false),
+            (b"quiesce now\n", "fail quiesce takes no further words\n", false),
+            (b"Resume\n", "fail unknown call; say health, quiesce or resume\n", false),
+            (b"\n", "fail empty call; say health, quiesce or resume\n", false),
+            (b"", "fail empty call; say health, quiesce or resume\n", false),
+            (b"h\xffalth\n", "fail not text; say health, quiesce or resume\n", false),
+            (&long, "fail the line is too long\n", false),
+            (b"resume\n", "ok serving\n", true),
+            (b"resume\n", "ok serving\n", true),
+        ];
+        for (line, expected, ready) in cases {
+            assert_eq!(call(address, line).await, expected, "{}", line.escape_ascii());
+            assert_eq!(life.state().ready(), ready, "after {}", line.escape_ascii());
+        }
+        life.terminate();
+        assert_eq!(call(address, b"health\n").await, "fail ending\n");
+        assert_eq!(call(address, b"resume\n").await, "fail ending\n");
+        assert_eq!(call(address, b"quiesce\n").await, "ok ending\n");
+    }
+
+    /// Whoever holds a connection without a word, or with half a call, keeps nobody out.
+    #[tokio::test]
+    async fn silent_callers_make_room_for_one_that_speaks() {
+        let life = Arc::new(Life::begin(false));
+        life.started();
+        let address = door(&life, 4).await;
+        let mut half = TcpStream::connect(address).await.expect("the door is there");
+        half.write_all(b"hea").await.expect("written");
+        assert_eq!(call(address, b"health\n").await, "ok serving\n");
+        let mut silent = Vec::new();
+        for _ in 0..40 {
+            silent.push(TcpStream::connect(address).await.expect("the door is there"));
+        }
+        assert_eq!(call(address, b"health\n").await, "ok serving\n");
+        half.write_all(b"lth\n").await.expect("written");
+        let mut answer = String::new();
+        half.read_to_string(&mut answer).await.expect("it was not displaced");
+        assert_eq!(answer, "ok serving\n");
+    }
+}
--- a/crates/vetchbridge/src/config/file.rs
+++ b/crates/vetchbridge/src/config/file.rs
@@ -16,6 +16,10 @@
     pub name: String,
     /// Where clients and the peers' callbacks connect. BALANCER_LISTEN and --listen win over it.
     pub listen: Address,
+    /// Where operators call: health, quiesce and resume, one line to a connection. BALANCER_ADMIN wins over it; off
+    /// where it is absent.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub admin: Option<Address>,
     /// The discovery service; absent where [[peer]] lists all peers. BALANCER_DISCOVERY and --discovery win over it.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub discovery: Option<Address>,
@@ -53,6 +57,7 @@
         File {
             name: "n0".to_string(),
             listen: Address(([127, 0, 0, 1], 8080).into()),
+            admin: None,
             discovery: None,
             seed: None,
             log: Log::default(),
--- a/crates/vetchbridge/src/config/mod.rs
+++ b/crates/vetchbridge/src/config/mod.rs
@@ -31,6 +31,8 @@
     pub name: String,
     /// Where clients and the peers' callbacks connect.
     pub listen: SocketAddr,
+    /// Where operators call; nowhere if absent.
+    pub admin: Option<SocketAddr>,
     /// Where the list of peers comes from.
     pub source: Source,
     /// Descriptors that the process may hold.
@@ -236,6 +238,10 @@
         file.listen = listen;
         take("listen", flags.listen.is_some(), "BALANCER_LISTEN");
     }
+    if let Some(admin) = address("BALANCER_ADMIN")? {
+        file.admin = Some(admin);
+        take("admin", false, "BALANCER_ADMIN");
+    }
     let discovery = flags.discovery.map(units::Address);
     if let Some(discovery) = discovery.map_or_else(|| address("BALANCER_DISCOVERY"), |a| Ok(Some(a)))? {
         file.discovery = Some(discovery);
@@ -377,6 +383,7 @@
         Ok(Config {
             name: file.name.clone(),
             listen: file.listen.0,
+            admin: file.admin.map(|address| address.0),
             source,
             sockets: file.limits.sockets as usize,
             memory: file.limits.memory.0 as usize,
--- a/crates/vetchbridge/src/config/platform.rs
+++ b/crates/vetchbridge/src/config/platform.rs
@@ -71,6 +71,7 @@
     for (variable, key, flag) in [
         ("BALANCER_NAME", "name", flags.name.clone()),
         ("BALANCER_LISTEN", "listen", flags.listen.map(|address| address.to_string())),
+        ("BALANCER_ADMIN", "admin", None),
         ("BALANCER_DISCOVERY", "discovery", flags.discovery.map(|address| address.to_string())),
     ] {
         let by = if flag.is_some() { "flag" } else { variable };
@@ -90,6 +91,7 @@
     let (name, nowhere) = (document.required(&root, "name"), SocketAddr::from((Ipv4Addr::LOCALHOST, 0)));
     let listen = document.required(&root, "listen").unwrap_or(nowhere);
     let discovery = document.required(&root, "discovery").unwrap_or(nowhere);
+    let admin = document.optional(Some(&root), "admin", "admin");
     let known = document.optional(Some(&root), "known", "known");
     let messages = document.optional(Some(&root), "peer_listen", "peer_listen");
     let each = document.optional(Some(&root), "peers", "peers");
@@ -121,6 +123,7 @@
     let config = Config {
         name: name.unwrap_or_default(),
         listen,
+        admin,
         source: Source::Service(discovery),
         sockets,
         memory: memory_mb.saturating_mul(1 << 20),
--- a/crates/vetchbridge/src/connections.rs
+++ b/crates/vetchbridge/src/connections.rs
@@ -169,6 +169,11 @@
         lock(&self.state).watch.framing == Framing::Unwatched
     }
 
+    /// Whether it has had an answer already.
+    pub fn kept(&self) -> bool {
+        lock(&self.state).answered > 0
+    }
+
     /// The request is whole, an answer is owed.
     pub fn owe(&self) {
         lock(&self.state).stage = Stage::Owing;
--- a/crates/vetchbridge/src/front.rs
+++ b/crates/vetchbridge/src/front.rs
@@ -6,6 +6,7 @@
 
 use crate::connections::{ClientConnection, ClientConnections, Place, Watched, HEAD_LIMIT};
 use crate::engine::Engine;
+use crate::life::Life;
 use crate::request::{submit, Answer, Job};
 use crate::upstream::{request_id, Callback, Parcel, UpstreamGroup};
 use axum::body::{to_bytes, Body, HttpBody};
@@ -21,12 +22,12 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use silverproxy::interface::{Class, ClassId, Effect, Event, Micros, Request, TenantId};
+use silverproxy::interface::{Class, ClassId, Effect, Micros, Request, TenantId};
 use std::convert::Infallible;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{watch, OwnedSemaphorePermit, Semaphore};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tower_service::Service;
 use tracing::{debug, warn};
 
@@ -41,26 +42,13 @@
 /// How often connections are looked through for those that have used up their time.
 const SWEEP: Duration = Duration::from_millis(100);
 
-/// How far the scheduler is on its way out.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd)]
-pub enum Phase {
-    /// Taking work.
-    Open,
-    /// Told to end: not ready, but whatever arrives is taken; each answer closes its connection.
-    Draining,
-    /// Idle connections are closed as well.
-    Closing,
-    /// Nothing more is taken, and what is open is given its final answer.
-    Leaving,
-}
-
 /// See the head of this file.
 pub struct Front {
     engine: Arc<Engine>,
     upstream: Arc<UpstreamGroup>,
     class_names: Vec<String>,
     classes: Vec<Class>,
-    phase: watch::Sender<Phase>,
+    life: Arc<Life>,
     connections: ClientConnections,
     /// Memory for the bodies of jobs, from their arrival to their end, and of callbacks; apart, so that jobs
     /// can't keep callbacks out.
@@ -77,6 +65,7 @@
         classes: Vec<Class>,
         sockets: usize,
         memory: usize,
+        life: Arc<Life>,
     ) -> Arc<Front> {
         let room = || Arc::new(Semaphore::new((memory / 8).clamp(BODY_LIMIT, usize::MAX >> 4) / PIECE));
         Arc::new(Front {
@@ -84,7 +73,7 @@
             upstream,
             class_names,
             classes,
-            phase: watch::Sender::new(Phase::Open),
+            life,
             // The other half is for the peers, discovery and the program itself.
             connections: ClientConnections::new(sockets / 2),
             job_room: room(),
@@ -92,14 +81,6 @@
         })
     }
 
-    /// Goes on to the next phase.
-    pub fn enter(&self, phase: Phase) {
-        self.phase.send_replace(phase);
-        if phase == Phase::Leaving {
-            self.engine.handle(Event::Ending);
-        }
-    }
-
     /// Whether any call is still owed its answer. One that has not fully arrived is not.
     pub fn owes(&self) -> bool {
         self.connections.owe() || self.engine.requests() > 0
@@ -146,15 +127,18 @@
         let io = TokioIo::new(Watched { stream, connection: connection.clone() });
         let serving = http1::Builder::new().max_buf_size(HEAD_LIMIT).serve_connection(io, service);
         tokio::pin!(serving);
-        let mut phase = self.phase.subscribe();
+        let mut state = self.life.subscribe();
         let mut closing = false;
         let served = loop {
             tokio::select! {
                 served = serving.as_mut() => break served,
                 () = connection.ended() => return debug!("connection.evicted"),
-                () = async { drop(phase.wait_for(|phase| *phase >= Phase::Closing).await) }, if !closing => {
-                    serving.as_mut().graceful_shutdown();
+                () = async { drop(state.wait_for(|state| state.closes_idle()).await) }, if !closing => {
                     closing = true;
+                    // One that has never been answered may have its request on the way: the answer will close it.
+                    if connection.kept() {
+                        serving.as_mut().graceful_shutdown();
+                    }
                 }
             }
         };
@@ -176,7 +160,7 @@
             router.call(request.map(Body::new)).await?
         };
         connection.answered();
-        if *self.phase.borrow() != Phase::Open || connection.last() {
+        if self.life.state().hangs_up() || connection.last() {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         Ok(response)
@@ -184,9 +168,10 @@
 }
 
 async fn ready(State(front): State<Arc<Front>>) -> StatusCode {
-    match *front.phase.borrow() {
-        Phase::Open => StatusCode::OK,
-        Phase::Draining | Phase::Closing | Phase::Leaving => StatusCode::SERVICE_UNAVAILABLE,
+    if front.life.state().ready() {
+        StatusCode::OK
+    } else {
+        StatusCode::SERVICE_UNAVAILABLE
     }
 }
 
@@ -224,7 +209,7 @@
         Ok(read) => read,
         Err(refused) => return refused.into_response(),
     };
-    if *front.phase.borrow() == Phase::Leaving {
+    if !front.life.state().takes() {
         return (StatusCode::SERVICE_UNAVAILABLE, "ending\n").into_response();
     }
     let job = match front.job(&parts, body, room) {
--- /dev/null
+++ b/crates/vetchbridge/src/lifecycle.rs
@@ -0,0 +1,256 @@
+//! How far this process is: starting, serving, draining, drained or ending. Pure: no clock, no socket.
+//!
+//! Owns the one answer to each question that hangs on it: whether the process can serve, whether it is ready for new
+//! clients, whether an answer ends its connection, whether idle connections are closed, whether anything is taken.
+//! Times are spans from the start, passed in. It must never act: whoever asks, acts.
+
+use std::time::Duration;
+
+/// Once clients are sent away, idle connections are left to them for this long: the front may still deal them out.
+pub const LET_IDLE: Duration = Duration::from_millis(500);
+/// After SIGTERM, what is still open then gets its final answer: SIGKILL may come 3.7 s after SIGTERM, and what
+/// it finds unanswered is lost.
+pub const LAST_CALL: Duration = Duration::from_millis(3300);
+
+/// How far a process is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    /// It can't serve yet.
+    Starting,
+    /// It takes clients.
+    Serving,
+    /// Told to send clients away: not ready, each answer closes its connection. What arrives is still taken.
+    Draining,
+    /// Idle connections are closed as well; it stays so until it is told to take clients again.
+    Drained,
+    /// Told to end.
+    Ending(End),
+}
+
+/// How far a process is on its way out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// As [`State::Draining`].
+    Draining,
+    /// As [`State::Drained`].
+    Drained,
+    /// Nothing more is taken, and what is open is given its final answer.
+    Leaving,
+}
+
+/// Why something asked can't be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// Not before it can serve.
+    Starting,
+    /// Not any more.
+    Ending,
+}
+
+impl State {
+    /// Whether this process can serve what reaches it.
+    pub fn can_serve(self) -> Result<(), Refusal> {
+        match self {
+            State::Starting => Err(Refusal::Starting),
+            State::Serving | State::Draining | State::Drained => Ok(()),
+            State::Ending(_) => Err(Refusal::Ending),
+        }
+    }
+
+    /// Whether new clients may be sent here.
+    pub fn ready(self) -> bool {
+        self == State::Serving
+    }
+
+    /// Whether an answer ends its connection.
+    pub fn hangs_up(self) -> bool {
+        !matches!(self, State::Starting | State::Serving)
+    }
+
+    /// Whether idle connections are closed.
+    pub fn closes_idle(self) -> bool {
+        matches!(self, State::Drained | State::Ending(End::Drained | End::Leaving))
+    }
+
+    /// Whether a request that arrives is taken.
+    pub fn takes(self) -> bool {
+        self != State::Ending(End::Leaving)
+    }
+
+    /// Its name, for operators.
+    pub fn name(self) -> &'static str {
+        match self {
+            State::Starting => "starting",
+            State::Serving => "serving",
+            State::Draining => "draining",
+            State::Drained => "drained",
+            State::Ending(_) => "ending",
+        }
+    }
+}
+
+/// The state and what leads on from it.
+#[derive(Debug)]
+pub struct Lifecycle {
+    state: State,
+    /// When it was told to drain or to end.
+    since: Duration,
+    /// Operators want clients sent away, from before it can serve on.
+    quiesced: bool,
+}
+
+impl Lifecycle {
+    /// A process that has just started; `quiesced`: it begins with its clients sent away.
+    pub fn new(quiesced: bool) -> Lifecycle {
+        Lifecycle { state: State::Starting, since: Duration::ZERO, quiesced }
+    }
+
+    /// The state.
+    pub fn state(&self) -> State {
+        self.state
+    }
+
+    /// It can serve from now on.
+    pub fn started(&mut self, now: Duration) {
+        if self.state == State::Starting {
+            self.state = State::Serving;
+            if self.quiesced {
+                self.drain(now);
+            }
+        }
+    }
+
+    /// Operators: send clients away. True of a process that ends, too.
+    pub fn quiesce(&mut self, now: Duration) {
+        self.quiesced = true;
+        if self.state == State::Serving {
+            self.drain(now);
+        }
+    }
+
+    /// Operators: take clients again.
+    pub fn resume(&mut self) -> Result<(), Refusal> {
+        if let State::Ending(_) = self.state {
+            return Err(Refusal::Ending);
+        }
+        self.quiesced = false;
+        if self.state != State::Starting {
+            self.state = State::Serving;
+        }
+        Ok(())
+    }
+
+    /// It is to end. Told twice, it ends as it does already.
+    pub fn terminate(&mut self, now: Duration) {
+        if !matches!(self.state, State::Ending(_)) {
+            (self.state, self.since) = (State::Ending(End::Draining), now);
+        }
+    }
+
+    fn drain(&mut self, now: Duration) {
+        (self.state, self.since) = (State::Draining, now);
+    }
+
+    /// When time alone leads on.
+    pub fn wakes(&self) -> Option<Duration> {
+        match self.state {
+            State::Draining | State::Ending(End::Draining) => Some(self.since + LET_IDLE),
+            State::Ending(End::Drained) => Some(self.since + LAST_CALL),
+            State::Starting | State::Serving | State::Drained | State::Ending(End::Leaving) => None,
+        }
+    }
+
+    /// Takes every step that is due by now.
+    pub fn advance(&mut self, now: Duration) {
+        while self.wakes().is_some_and(|at| at <= now) {
+            self.state = match self.state {
+                State::Draining => State::Drained,
+                State::Ending(End::Draining) => State::Ending(End::Drained),
+                _ => State::Ending(End::Leaving),
+            };
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    fn at(ms: u64) -> Duration {
+        Duration::from_millis(ms)
+    }
+
+    /// The whole way there and back: nothing is ready before it can serve, while clients are sent away, or at the end.
+    #[test]
+    fn a_drain_ends_with_resume_and_an_end_with_nothing() {
+        let mut life = Lifecycle::new(false);
+        assert!(!life.state().ready() && life.state().can_serve() == Err(Refusal::Starting));
+        life.started(at(10));
+        assert!(life.state().ready() && !life.state().hangs_up());
+        life.quiesce(at(100));
+        assert!(!life.state().ready() && life.state().hangs_up() && !life.state().closes_idle());
+        assert_eq!(life.state().can_serve(), Ok(()));
+        life.quiesce(at(500));
+        life.advance(at(600));
+        assert_eq!(life.state(), State::Drained, "a second call does not put the end of a drain off");
+        assert_eq!((life.wakes(), life.resume(), life.state()), (None, Ok(()), State::Serving));
+        life.quiesce(at(700));
+        life.terminate(at(800));
+        assert_eq!(life.resume(), Err(Refusal::Ending));
+        life.advance(at(800) + LAST_CALL);
+        assert!(!life.state().takes() && life.state().closes_idle());
+    }
+
+    /// What is asked before the process can serve holds once it can.
+    #[test]
+    fn quiesced_before_its_start_it_begins_drained() {
+        for (calls, ready) in [("q", false), ("qr", true), ("rq", false), ("", true)] {
+            let mut life = Lifecycle::new(false);
+            for call in calls.chars() {
+                match call {
+                    'q' => life.quiesce(at(1)),
+                    _ => life.resume().expect("nothing ends"),
+                }
+            }
+            life.started(at(2));
+            assert_eq!(life.state().ready(), ready, "{calls}");
+        }
+        let mut successor = Lifecycle::new(true);
+        successor.started(at(2));
+        assert_eq!(successor.state(), State::Draining);
+    }
+
+    proptest! {
+        /// Whatever is called in whatever order: an end is final and goes forward alone, a process is ready exactly
+        /// when it can serve and its clients are wanted, and time leads to rest.
+        #[test]
+        fn no_order_of_calls_confuses_it(calls in prop::collection::vec((0..5u8, 0..900u64), 1..40)) {
+            let mut life = Lifecycle::new(false);
+            let (mut now, mut started, mut wanted, mut ended) = (0, false, true, false);
+            let rank = |state: State| match state {
+                State::Ending(End::Draining) => 1,
+                State::Ending(End::Drained) => 2,
+                State::Ending(End::Leaving) => 3,
+                _ => 0,
+            };
+            for (call, pause) in calls {
+                let before = rank(life.state());
+                now += pause;
+                life.advance(at(now));
+                match call {
+                    0 => { life.started(at(now)); started = true }
+                    1 => { life.quiesce(at(now)); wanted = false }
+                    2 => wanted |= life.resume().is_ok(),
+                    3 => { life.terminate(at(now)); ended = true }
+                    _ => {}
+                }
+                prop_assert!(rank(life.state()) >= before);
+                prop_assert_eq!(life.state().ready(), started && wanted && !ended);
+                prop_assert_eq!(life.state().can_serve().is_ok(), started && !ended);
+            }
+            life.advance(at(now) + LAST_CALL);
+            prop_assert_eq!(life.wakes(), None);
+        }
+    }
+}
--- a/crates/vetchbridge/src/serve.rs
+++ b/crates/vetchbridge/src/serve.rs
@@ -1,29 +1,27 @@
 //! The daemon's life: owns the start, the wiring and the end of the program; it must never touch a request.
 
+use crate::admin;
 use crate::ask::Ask;
 use crate::config::{self, Config, Flags};
 use crate::discovery::Discovery;
 use crate::engine::Engine;
-use crate::front::{Front, Phase};
+use crate::front::Front;
+use crate::life::Life;
 use crate::logs::Logs;
 use crate::siblings;
 use crate::upstream::UpstreamGroup;
+use silverproxy::interface::Event;
 use std::error::Error;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
-use tokio::time::{sleep, sleep_until, Instant};
+use tokio::time::{sleep, Instant};
 use tracing::{error, info};
 
-/// After SIGTERM, idle connections are left to their clients for this long: the front may still deal them out.
-const LET_IDLE: Duration = Duration::from_millis(500);
 /// After SIGTERM, the listener stays at least this long: new connections keep arriving.
 const LISTEN_ON: Duration = Duration::from_millis(900);
-/// After SIGTERM, what is still open then gets its final answer: SIGKILL may come 3.7 s after SIGTERM, and what
-/// it finds unanswered is lost.
-const LAST_CALL: Duration = Duration::from_millis(3300);
 /// Nothing must be owed for this long before the program ends; the last answers leave the socket meanwhile.
 const QUIET: Duration = Duration::from_millis(100);
 
@@ -32,30 +30,38 @@
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let hangup = signal(SignalKind::hangup())?;
-    let listener = TcpListener::bind(config.listen).await.map_err(|e| format!("{}: {e}", config.listen))?;
+    let bind = |address| async move {
+        TcpListener::bind(address).await.map_err(|error| format!("{address}: {error}"))
+    };
+    let listener = bind(config.listen).await?;
+    let life = Arc::new(Life::begin(false));
+    if let Some(address) = config.admin {
+        let door = bind(address).await?;
+        info!(address = %door.local_addr()?, "admin.listens");
+        tokio::spawn(admin::serve(door, life.clone(), admin::callers(config.sockets)));
+    }
+    let keeper = life.clone();
+    tokio::spawn(async move { keeper.keep_time().await });
     info!(name = config.name, address = %listener.local_addr()?, "daemon.listens");
     let (asks, asked) = unbounded_channel();
     // To the very end: while it drains, the scheduler still places jobs and needs the list.
     tokio::spawn(reload_on(hangup, asks.clone(), flags, logs));
-    let front = start(config, listener, asks, asked);
+    let (engine, front) = start(config, listener, asks, asked, life.clone());
+    life.started();
 
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
     }
-    info!("daemon.ending");
-    front.enter(Phase::Draining);
-    let told = Instant::now();
-    sleep_until(told + LET_IDLE).await;
-    front.enter(Phase::Closing);
-    sleep_until(told + LISTEN_ON).await;
+    life.terminate();
+    sleep(LISTEN_ON).await;
     let mut quiet_since = Instant::now();
     let mut leaving = false;
     while quiet_since.elapsed() < QUIET {
         sleep(QUIET / 10).await;
-        if !leaving && told.elapsed() >= LAST_CALL {
+        if !leaving && !life.state().takes() {
             leaving = true;
-            front.enter(Phase::Leaving);
+            engine.handle(Event::Ending);
         }
         if front.owes() {
             quiet_since = Instant::now();
@@ -90,7 +96,8 @@
     listener: TcpListener,
     asks: UnboundedSender<Ask>,
     asked: UnboundedReceiver<Ask>,
-) -> Arc<Front> {
+    life: Arc<Life>,
+) -> (Arc<Engine>, Arc<Front>) {
     let (messages, outgoing) = unbounded_channel();
     let upstream = Arc::new(UpstreamGroup::new(config.dial_timeout, config.conn_idle));
     let engine = Arc::new(Engine::new(config.policy, upstream.clone(), asks, messages));
@@ -107,7 +114,15 @@
     let discovery =
         Discovery::start(config.source, config.names, config.known, engine.clone(), upstream.clone());
     tokio::spawn(discovery.run(asked));
-    let front = Front::new(engine, upstream, class_names, config.classes, config.sockets, config.memory);
+    let front = Front::new(
+        engine.clone(),
+        upstream,
+        class_names,
+        config.classes,
+        config.sockets,
+        config.memory,
+        life,
+    );
     tokio::spawn(front.clone().serve(listener));
-    front
+    (engine, front)
 }
--- a/crates/vetchbridge/tests/node.rs
+++ b/crates/vetchbridge/tests/node.rs
@@ -11,8 +11,8 @@
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
-use tokio::io::AsyncWriteExt;
-use tokio::net::{TcpListener, TcpSocket};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 /// A story that stands still fails; none of them measures time.
 const HANG: Duration = Duration::from_secs(60);
@@ -67,7 +67,7 @@
         json!({"name": name, "repeat": repeat, "group": "all", "window": 5_000_000, "aim": 500_000,
                "deadline": 60_000_000, "importance": 1.0})
     };
-    json!({"name": "n0", "listen": "127.0.0.1:0", "discovery": discovery.to_string(), "seed": "8c1f30d27a5be964",
+    json!({"name": "n0", "listen": "127.0.0.1:0", "admin": "127.0.0.1:0", "discovery": discovery.to_string(), "seed": "8c1f30d27a5be964",
         "limits": {"sockets": SOCKETS}, "known": {"generation": 1, "reset": true, "instances": instances},
         "settings": {"me": 0, "balancers": 1, "areas": ["a"], "kinds": ["m"], "zone": 0, "tick": 4000,
             "discovery": "ask", "services": [class("safe", "safe"), class("unsafe", "unsafe"), class("keyed", "keyed")],
@@ -94,6 +94,7 @@
     daemon: Child,
     config: String,
     address: SocketAddr,
+    admin: SocketAddr,
     discovery: TcpListener,
     peers: Vec<TcpListener>,
     next_id: u64,
@@ -127,11 +128,30 @@
         let told = discovery.local_addr().unwrap().to_string();
         let mut daemon = daemon.env("BALANCER_DISCOVERY", told).spawn().expect("the daemon starts");
         let mut log = BufReader::new(daemon.stderr.take().expect("piped")).lines();
-        let line = log.find(|line| line.as_ref().is_ok_and(|line| line.contains("daemon.listens")));
-        let line = line.expect("a first line").expect("text");
+        let mut listens = |event: &str| -> SocketAddr {
+            let line = log.find(|line| line.as_ref().is_ok_and(|line| line.contains(event)));
+            let line = line.expect("a line").expect("text");
+            line.rsplit("address=").next().expect("an address").parse().expect("an address")
+        };
+        let (admin, address) = (listens("admin.listens"), listens("daemon.listens"));
         std::thread::spawn(move || log.for_each(drop));
-        let address = line.rsplit("address=").next().expect("an address").parse().expect("an address");
-        Stage { daemon, config, address, discovery, peers: listeners, next_id: 0xab00 }
+        Stage { daemon, config, address, admin, discovery, peers: listeners, next_id: 0xab00 }
+    }
+
+    /// An operators' call and its answer.
+    async fn operate(&self, call: &str) -> String {
+        let mut stream = TcpStream::connect(self.admin).await.expect("the door is there");
+        stream.write_all(format!("{call}\n").as_bytes()).await.expect("written");
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).await.expect("an answer");
+        answer
+    }
+
+    /// What `/health/ready` says on a connection of its own.
+    async fn readiness(&self) -> Message {
+        let mut front = dial(self.address).await;
+        front.send("GET /health/ready HTTP/1.1\r\nhost: x\r\n\r\n").await;
+        front.read().await.expect("an answer")
     }
 
     /// The next connection that any peer gets.
@@ -468,11 +488,9 @@
     stage.signal("-TERM");
     // Readiness is asked until the signal has arrived.
     let closed = loop {
-        let mut front = dial(stage.address).await;
-        front.send("GET /health/ready HTTP/1.1\r\nhost: x\r\n\r\n").await;
-        let answer = front.read().await;
-        if status(&answer) == "503" {
-            break answer.unwrap();
+        let answer = stage.readiness().await;
+        if answer.status() == "503" {
+            break answer;
         }
     };
     assert_eq!(closed.header("connection"), Some("close"));
@@ -489,6 +507,51 @@
     assert!(stage.daemon.wait().expect("it ends").success());
 }
 
+/// Operators drain a scheduler: not ready, idle connections close, what comes all the same is served and hung up on,
+/// callbacks get in, the process stays. It takes clients again when told to, also in the middle of it.
+#[rstest]
+#[timeout(HANG)]
+#[tokio::test]
+async fn a_drained_scheduler_stays_and_takes_clients_again() {
+    let mut stage = Stage::set(1).await;
+    assert_eq!(stage.operate("health").await, "ok serving\n");
+    let mut idle = dial(stage.address).await;
+    idle.send("GET /health/ready HTTP/1.1\r\nhost: x\r\n\r\n").await;
+    assert_eq!(status(&idle.read().await), "200");
+    // Connected and not heard of yet: whenever its job comes, it is owed an answer.
+    let mut slow = dial(stage.address).await;
+    let (mut early, early_id) = stage.job("safe", "k").await;
+    let (number, mut peer) = stage.peer().await;
+    peer.read().await.expect("the job");
+    peer.send(ACCEPTED).await;
+    assert_eq!(stage.operate("quiesce").await, "ok draining\n");
+    let not_ready = stage.readiness().await;
+    assert_eq!((not_ready.status(), not_ready.header("connection")), ("503", Some("close")));
+    assert!(idle.read().await.is_none(), "an idle connection is closed");
+    assert_eq!(stage.operate("health").await, "ok drained\n");
+    slow.hand_in("/safe/k", "X-Trace-Id: 00000000000000aa\r\n", "work").await;
+    peer.read().await.expect("the slow client's job");
+    peer.send(ACCEPTED).await;
+    let (mut late, late_id) = stage.job("safe", "k").await;
+    peer.read().await.expect("the late job");
+    peer.send(ACCEPTED).await;
+    let slow_id = "00000000000000aa".to_string();
+    for (client, id) in [(&mut early, early_id), (&mut late, late_id), (&mut slow, slow_id)] {
+        stage.call_back(&id, number, "done").await;
+        let answer = client.read().await.expect("an answer");
+        assert_eq!((answer.status(), answer.header("connection")), ("200", Some("close")));
+        assert!(client.read().await.is_none());
+    }
+    for call in ["resume", "quiesce", "resume"] {
+        stage.operate(call).await;
+    }
+    let ready = stage.readiness().await;
+    assert_eq!((ready.status(), ready.header("connection")), ("200", None));
+    stage.operate("quiesce").await;
+    stage.signal("-TERM");
+    assert!(stage.daemon.wait().expect("it ends").success(), "a drained scheduler ends as any other");
+}
+
 /// What can't be finished before the end is answered all the same, and the peer is told to stop.
 #[rstest]
 #[timeout(HANG)]
