--- a/crates/vetchbridge/src/config/file.rs
+++ b/crates/vetchbridge/src/config/file.rs
@@ -7,6 +7,7 @@
 use crate::logs::LogFormat;
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
+use std::path::PathBuf;
 
 /// A scheduler's configuration. Spans of time carry a unit ("480ms"), sizes too ("64KiB").
 #[derive(Clone, Debug, Deserialize, Serialize, JsonSchema)]
@@ -20,6 +21,10 @@
     /// where it is absent.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub admin: Option<Address>,
+    /// A Unix socket, in a folder of this scheduler's own, at which a process that is started with the same name and
+    /// addresses takes over from the one that serves; off where it is absent.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub handover: Option<PathBuf>,
     /// The discovery service; absent where [[peer]] lists all peers. BALANCER_DISCOVERY and --discovery win over it.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub discovery: Option<Address>,
@@ -58,6 +63,7 @@
             name: "n0".to_string(),
             listen: Address(([127, 0, 0, 1], 8080).into()),
             admin: None,
+            handover: None,
             discovery: None,
             seed: None,
             log: Log::default(),
--- a/crates/vetchbridge/src/config/mod.rs
+++ b/crates/vetchbridge/src/config/mod.rs
@@ -13,17 +13,16 @@
 
 use crate::listing::{Instance, Lifecycle, Listing, Names, Source};
 use crate::logs::LogFormat;
+use crate::snapshot::Snapshot;
 use check::{hold, Text};
 use file::{File, Follow, Group, QueueOrder, Repeat, Weights};
 use serde_json::Value;
 use silverproxy::interface::{
     self, Class, Discovery, Effect, KindId, RepeatGroup, ReportVia, Settings, Tenant, ZoneId,
 };
-use silverproxy::policy::Policy;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::time::Duration;
 
 /// Everything that the daemon is told at its start.
 pub struct Config {
@@ -33,6 +32,8 @@
     pub listen: SocketAddr,
     /// Where operators call; nowhere if absent.
     pub admin: Option<SocketAddr>,
+    /// The Unix socket at which a successor takes over; nowhere if absent.
+    pub handover: Option<PathBuf>,
     /// Where the list of peers comes from.
     pub source: Source,
     /// Descriptors that the process may hold.
@@ -43,16 +44,10 @@
     pub siblings: Option<Siblings>,
     /// The list of peers as this scheduler last had it.
     pub known: Listing,
-    /// The module, which has checked its settings, and the parts of them that the sockets need.
-    pub policy: Policy,
-    /// The classes of requests.
-    pub classes: Vec<Class>,
-    /// A connection not made within this time has failed.
-    pub dial_timeout: Duration,
-    /// What the settings' indices are called on the sockets.
-    pub names: Names,
-    /// A peer closes a connection that has been idle for this long.
-    pub conn_idle: Duration,
+    /// The settings, which were checked.
+    pub snapshot: Snapshot,
+    /// Seed of the module's random numbers.
+    pub seed: u64,
     /// The log.
     pub log: file::Log,
 }
@@ -365,7 +360,7 @@
         }
         let classes: Vec<Class> = (0..file.class.len()).map(|index| self.class(index)).collect();
         let instances: Vec<Instance> = (0..file.peer.len()).map(|index| self.peer(index)).collect();
-        let settings = self.settings(zone, classes.clone());
+        let settings = self.settings(zone, classes);
         if let Err(error) = settings.check() {
             self.bad(ours(error.field), error.reason, "");
         }
@@ -373,8 +368,6 @@
             self.faults.sort_by_key(|fault| fault.at);
             return Err(ConfigError(self.faults));
         }
-        let policy = Policy::new(settings, file.seed.map_or_else(drawn, |seed| seed.0))
-            .map_err(|error| ConfigError(vec![self.text.fault(ours(error.field), error.reason, "")]))?;
         let listing = Listing { generation: 0, reset: true, instances };
         let (source, known) = match file.discovery {
             Some(address) => (Source::Service(address.0), listing),
@@ -384,6 +377,7 @@
             name: file.name.clone(),
             listen: file.listen.0,
             admin: file.admin.map(|address| address.0),
+            handover: file.handover.clone(),
             source,
             sockets: file.limits.sockets as usize,
             memory: file.limits.memory.0 as usize,
@@ -393,17 +387,18 @@
                 all: file.tier.all.map(|address| address.0),
             }),
             known,
-            policy,
-            classes,
-            dial_timeout: file.attempts.dial_timeout.duration(),
-            names: Names {
-                zones: file.fleet.zones.clone(),
-                kinds: file.fleet.kinds.clone(),
-                classes: file.class.iter().map(|class| class.name.clone()).collect(),
+            seed: file.seed.map_or_else(drawn, |seed| seed.0),
+            snapshot: Snapshot {
+                settings,
+                names: Names {
+                    zones: file.fleet.zones.clone(),
+                    kinds: file.fleet.kinds.clone(),
+                    classes: file.class.iter().map(|class| class.name.clone()).collect(),
+                },
+                conn_idle: Some(file.fleet.conn_idle.duration())
+                    .filter(|idle| !idle.is_zero())
+                    .unwrap_or(platform::CONN_IDLE),
             },
-            conn_idle: Some(file.fleet.conn_idle.duration())
-                .filter(|idle| !idle.is_zero())
-                .unwrap_or(platform::CONN_IDLE),
             log: file.log.clone(),
         })
     }
--- a/crates/vetchbridge/src/config/platform.rs
+++ b/crates/vetchbridge/src/config/platform.rs
@@ -4,10 +4,12 @@
 
 use super::{file, Config, ConfigError, Effective, Fault, Flags, Read, Siblings};
 use crate::listing::{Names, Source};
+use crate::snapshot::Snapshot;
 use serde::de::DeserializeOwned;
 use serde_json::{Map, Value};
-use silverproxy::policy::Policy;
+use silverproxy::interface::Settings;
 use std::net::{Ipv4Addr, SocketAddr};
+use std::path::Path;
 use std::time::Duration;
 
 const SOCKETS: usize = 1024;
@@ -112,32 +114,29 @@
             None
         }
     };
-    let parts = settings.as_ref().map(|settings| (settings.classes.clone(), settings.limits.clone()));
-    let policy = settings.and_then(|settings| {
-        let policy = Policy::new(settings, seed.unwrap_or_default());
-        policy.map_err(|error| document.bad(&format!("settings.{}", error.field), error.reason)).ok()
-    });
-    let (Some(policy), Some((classes, limits)), true) = (policy, parts, document.faults.is_empty()) else {
+    if let Some(Err(error)) = settings.as_ref().map(Settings::check) {
+        document.bad(&format!("settings.{}", error.field), error.reason);
+    }
+    let (Some(settings), true) = (settings, document.faults.is_empty()) else {
         return Err(ConfigError(document.faults));
     };
     let config = Config {
         name: name.unwrap_or_default(),
         listen,
         admin,
+        // What the platform keeps between two processes of one scheduler is this folder.
+        handover: env("TMPDIR").map(|folder| Path::new(&folder).join("vetchbridge.handover")),
         source: Source::Service(discovery),
         sockets,
         memory: memory_mb.saturating_mul(1 << 20),
-        siblings: messages.filter(|_| limits.may_message_peers).map(|listen| Siblings {
+        siblings: messages.filter(|_| settings.limits.may_message_peers).map(|listen| Siblings {
             listen,
             each: each.unwrap_or_default(),
             all,
         }),
         known: known.unwrap_or_default(),
-        policy,
-        classes,
-        dial_timeout: Duration::from_micros(limits.dial_timeout),
-        names,
-        conn_idle: idle.map_or(CONN_IDLE, Duration::from_micros),
+        seed: seed.unwrap_or_default(),
+        snapshot: Snapshot { settings, names, conn_idle: idle.map_or(CONN_IDLE, Duration::from_micros) },
         log: super::log(&file::File::default(), flags, env),
     };
     let from =
--- a/crates/vetchbridge/src/connections.rs
+++ b/crates/vetchbridge/src/connections.rs
@@ -137,6 +137,7 @@
 pub struct ClientConnection {
     state: Mutex<State>,
     ended: Notify,
+    rests: Notify,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -146,7 +147,7 @@
 impl ClientConnection {
     fn new() -> ClientConnection {
         let state = State { stage: Stage::Silent, since: Instant::now(), answered: 0, watch: Watch::new() };
-        ClientConnection { state: Mutex::new(state), ended: Notify::new() }
+        ClientConnection { state: Mutex::new(state), ended: Notify::new(), rests: Notify::new() }
     }
 
     /// Resolves when the connection must end now.
@@ -154,6 +155,17 @@
         self.ended.notified().await;
     }
 
+    /// Resolves while the connection is between requests, not one byte of the next having been read.
+    pub async fn rests(&self) {
+        loop {
+            let rests = self.rests.notified();
+            if matches!(lock(&self.state).stage, Stage::Silent | Stage::Idle) {
+                return;
+            }
+            rests.await;
+        }
+    }
+
     /// When the request that is arriving must be whole.
     pub fn due(&self) -> Instant {
         lock(&self.state).since + ARRIVAL
@@ -169,6 +181,12 @@
         lock(&self.state).watch.framing == Framing::Unwatched
     }
 
+    /// Another process has answered on it already.
+    pub fn keep(&self) {
+        let state = &mut *lock(&self.state);
+        (state.stage, state.answered) = (Stage::Idle, 1);
+    }
+
     /// Whether it has had an answer already.
     pub fn kept(&self) -> bool {
         lock(&self.state).answered > 0
@@ -202,6 +220,7 @@
         if state.stage == Stage::Answering {
             state.stage = if state.watch.between_requests() { Stage::Idle } else { Stage::Arriving };
             state.since = Instant::now();
+            self.rests.notify_waiters();
         }
     }
 
@@ -269,10 +288,16 @@
         ClientConnections { budget, table: Mutex::default() }
     }
 
-    /// A place for a new connection, if need be that of one that can be spared; `None` if there is none.
-    pub fn place(&self) -> Option<Place<'_>> {
+    /// How many there are.
+    pub fn count(&self) -> usize {
+        lock(&self.table).open.len()
+    }
+
+    /// A place for a new connection, if need be that of one that can be spared; `None` if there is none. So many
+    /// places are taken `elsewhere`.
+    pub fn place(&self, elsewhere: usize) -> Option<Place<'_>> {
         let table = &mut *lock(&self.table);
-        if table.open.len() >= self.budget {
+        if table.open.len() + elsewhere >= self.budget {
             let now = Instant::now();
             let spare = table.open.iter().filter_map(|(number, c)| Some((c.spare(now)?, *number)));
             let (_, number) = spare.min()?;
@@ -402,7 +427,7 @@
     #[tokio::test(start_paused = true)]
     async fn the_silent_go_first_and_who_is_owed_an_answer_never() {
         let connections = ClientConnections::new(6);
-        let places: Vec<Place<'_>> = (0..6).filter_map(|_| connections.place()).collect();
+        let places: Vec<Place<'_>> = (0..6).filter_map(|_| connections.place(0)).collect();
         let [owed, callback, kept, once, half, silent] = &places[..] else { panic!("six places") };
         owed.connection.owe();
         callback.connection.seen(b"POST /callback HTTP/1.1\r\n");
@@ -417,13 +442,13 @@
         tokio::time::advance(YOUNG).await;
         let mut newcomers = Vec::new();
         for leaves in [silent, half, once, kept] {
-            newcomers.push(connections.place().expect("room"));
+            newcomers.push(connections.place(0).expect("room"));
             newcomers.last().unwrap().connection.owe();
             // A permit is there at once for the one that was chosen, and for no other.
             leaves.connection.ended().await;
         }
-        assert!(connections.place().is_none(), "nobody may be sent away for another");
+        assert!(connections.place(0).is_none(), "nobody may be sent away for another");
         drop(newcomers.pop());
-        assert!(connections.place().is_some(), "a place is given back");
+        assert!(connections.place(0).is_some(), "a place is given back");
     }
 }
--- a/crates/vetchbridge/src/discovery.rs
+++ b/crates/vetchbridge/src/discovery.rs
@@ -7,7 +7,8 @@
 
 use crate::ask::Ask;
 use crate::engine::Engine;
-use crate::listing::{Instance, Listing, Names, Source};
+use crate::listing::{Instance, Listing, Roster, Source};
+use crate::snapshot::Current;
 use crate::upstream::UpstreamGroup;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
@@ -18,7 +19,7 @@
 use silverproxy::interface::*;
 use std::future::{pending, ready, Future};
 use std::pin::Pin;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::time::Instant;
@@ -68,21 +69,24 @@
 pub struct Discovery {
     source: Source,
     client: Client<HttpConnector, Empty<Bytes>>,
-    names: Names,
+    current: Arc<Current>,
     engine: Arc<Engine>,
     upstream: Arc<UpstreamGroup>,
+    roster: Arc<Mutex<Roster>>,
     /// The version last seen at this address; `None` before its first whole list.
     version: Option<u64>,
 }
 
 impl Discovery {
-    /// Tells the upstream group and the module the saved list; nothing is asked yet.
+    /// Tells the upstream group and the module the saved list; nothing is asked yet. The list's version is one at
+    /// `source` if `same`; otherwise the whole list comes first.
     pub fn start(
         source: Source,
-        names: Names,
-        known: Listing,
+        current: Arc<Current>,
+        (known, same): (Listing, bool),
         engine: Arc<Engine>,
         upstream: Arc<UpstreamGroup>,
+        roster: Arc<Mutex<Roster>>,
     ) -> Discovery {
         let mut tcp = HttpConnector::new();
         tcp.set_nodelay(true);
@@ -91,12 +95,12 @@
             .pool_idle_timeout(IDLE)
             .pool_timer(TokioTimer::new())
             .build(tcp);
-        let mut discovery = Discovery { source, client, names, engine, upstream, version: None };
-        discovery.tell(ListKind::Saved, known);
-        if matches!(discovery.source, Source::Fixed(_)) {
-            // What the configuration lists is no saved list but the whole one, told with the first ask.
-            discovery.version = None;
-        }
+        let mut discovery = Discovery { source, client, current, engine, upstream, roster, version: None };
+        // What the configuration itself lists is no saved list but the whole one, told with the first ask.
+        let same = same && matches!(discovery.source, Source::Service(_));
+        discovery.roster().move_to(&discovery.source);
+        discovery.version = same.then_some(known.generation);
+        discovery.pass_on(ListKind::Saved, discovery.version, &known.instances);
         discovery
     }
 
@@ -113,6 +117,7 @@
                     Some(Ask::Move(source)) => {
                         info!(from = ?self.source, to = ?source, "discovery.moves");
                         (self.source, self.version) = (source, None);
+                        self.roster().move_to(&self.source);
                         // What the old one still says is no news; its list stands until the new one's is here.
                         (watch, fetch) = (Some(self.watch()), None);
                     }
@@ -195,7 +200,7 @@
             Err(Failure { reason, leaving }) => {
                 warn!(reason, leaving = leaving.len(), "discovery.failed");
                 if !leaving.is_empty() {
-                    self.pass_on(ListKind::Changes, &leaving);
+                    self.pass_on(ListKind::Changes, None, &leaving);
                 }
                 self.engine.handle(Event::Members { kind: ListKind::Failed, members: Vec::new() });
                 return false;
@@ -207,11 +212,17 @@
     fn tell(&mut self, kind: ListKind, listing: Listing) {
         debug!(?kind, version = listing.generation, entries = listing.instances.len(), "list.told");
         self.version = Some(listing.generation);
-        self.pass_on(kind, &listing.instances);
+        self.pass_on(kind, self.version, &listing.instances);
+    }
+
+    fn roster(&self) -> MutexGuard<'_, Roster> {
+        self.roster.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn pass_on(&self, kind: ListKind, instances: &[Instance]) {
-        let members: Vec<Member> = instances.iter().map(|i| i.member(&self.names)).collect();
+    fn pass_on(&self, kind: ListKind, version: Option<u64>, instances: &[Instance]) {
+        self.roster().tell(kind, version, instances);
+        let names = &self.current.get().names;
+        let members: Vec<Member> = instances.iter().map(|i| i.member(names)).collect();
         let entries = instances.iter().zip(&members);
         let entries = entries.map(|(i, m)| (m.worker, i.instance_id.as_str(), i.host_port.as_str(), m.state));
         self.upstream.apply(kind, entries);
--- a/crates/vetchbridge/src/engine.rs
+++ b/crates/vetchbridge/src/engine.rs
@@ -123,6 +123,11 @@
         self.core().requests.remove(&id);
     }
 
+    /// The ids of the requests that are open.
+    pub fn open_requests(&self) -> Vec<RequestId> {
+        self.core().requests.keys().copied().collect()
+    }
+
     /// How many request contexts there are.
     pub fn requests(&self) -> usize {
         self.core().requests.len()
--- a/crates/vetchbridge/src/front.rs
+++ b/crates/vetchbridge/src/front.rs
@@ -6,8 +6,11 @@
 
 use crate::connections::{ClientConnection, ClientConnections, Place, Watched, HEAD_LIMIT};
 use crate::engine::Engine;
+use crate::kin::Kin;
 use crate::life::Life;
 use crate::request::{submit, Answer, Job};
+use crate::snapshot::Current;
+use crate::upgrade::words::Word;
 use crate::upstream::{request_id, Callback, Parcel, UpstreamGroup};
 use axum::body::{to_bytes, Body, HttpBody};
 use axum::extract::{Extension, Request as HttpRequest, State};
@@ -22,11 +25,13 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use silverproxy::interface::{Class, ClassId, Effect, Micros, Request, TenantId};
+use silverproxy::interface::{ClassId, Effect, Micros, Request, TenantId};
 use std::convert::Infallible;
-use std::sync::Arc;
+use std::os::fd::OwnedFd;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tower_service::Service;
 use tracing::{debug, warn};
@@ -42,13 +47,18 @@
 /// How often connections are looked through for those that have used up their time.
 const SWEEP: Duration = Duration::from_millis(100);
 
+/// A client connection from another process, and whether it has had an answer there.
+type Adopted = (OwnedFd, bool);
+
 /// See the head of this file.
 pub struct Front {
     engine: Arc<Engine>,
     upstream: Arc<UpstreamGroup>,
-    class_names: Vec<String>,
-    classes: Vec<Class>,
+    current: Arc<Current>,
     life: Arc<Life>,
+    kin: Arc<Kin>,
+    /// Client connections that another process has served so far, and whether they have had an answer.
+    adopted: (UnboundedSender<Adopted>, Mutex<Option<UnboundedReceiver<Adopted>>>),
     connections: ClientConnections,
     /// Memory for the bodies of jobs, from their arrival to their end, and of callbacks; apart, so that jobs
     /// can't keep callbacks out.
@@ -61,19 +71,21 @@
     pub fn new(
         engine: Arc<Engine>,
         upstream: Arc<UpstreamGroup>,
-        class_names: Vec<String>,
-        classes: Vec<Class>,
+        current: Arc<Current>,
         sockets: usize,
         memory: usize,
         life: Arc<Life>,
+        kin: Arc<Kin>,
     ) -> Arc<Front> {
         let room = || Arc::new(Semaphore::new((memory / 8).clamp(BODY_LIMIT, usize::MAX >> 4) / PIECE));
+        let (adopted, adoptions) = unbounded_channel();
         Arc::new(Front {
             engine,
             upstream,
-            class_names,
-            classes,
+            current,
             life,
+            kin,
+            adopted: (adopted, Mutex::new(Some(adoptions))),
             // The other half is for the peers, discovery and the program itself.
             connections: ClientConnections::new(sockets / 2),
             job_room: room(),
@@ -86,25 +98,44 @@
         self.connections.owe() || self.engine.requests() > 0
     }
 
-    /// Accepts connections until the program ends.
+    /// How many client connections there are.
+    pub fn connections(&self) -> usize {
+        self.connections.count()
+    }
+
+    /// Goes on with a client connection that another process has served so far.
+    pub fn adopt(&self, connection: OwnedFd, kept: bool) {
+        // Nobody receives once the listener has gone, with the process.
+        let _ = self.adopted.0.send((connection, kept));
+    }
+
+    /// Accepts connections until the program ends, but for the time that a successor does.
     pub async fn serve(self: Arc<Self>, listener: TcpListener) {
         let router = Router::new()
             .route("/health/ready", get(ready))
             .route("/callback", post(callback))
             .fallback(take)
             .with_state(self.clone());
+        let adoptions = self.adopted.1.lock().unwrap_or_else(PoisonError::into_inner).take();
+        let Some(mut adoptions) = adoptions else { return };
         let mut sweep = tokio::time::interval(SWEEP);
+        let mut successor = self.kin.successor();
         loop {
-            let accepted = tokio::select! {
-                accepted = listener.accept() => accepted,
+            let alone = successor.borrow_and_update().is_none();
+            let (accepted, kept) = tokio::select! {
+                accepted = listener.accept(), if alone => (accepted.map(|(stream, _)| stream), None),
+                Some((connection, kept)) = adoptions.recv() => {
+                    (TcpStream::from_std(connection.into()), Some(kept))
+                }
                 _ = sweep.tick() => {
                     self.connections.sweep();
                     continue;
                 }
+                _ = successor.changed() => continue,
             };
             match accepted {
-                Ok((stream, _)) => {
-                    tokio::spawn(self.clone().client_connection(stream, router.clone()));
+                Ok(stream) => {
+                    tokio::spawn(self.clone().client_connection(stream, kept, router.clone()));
                     // In a burst, each is read before the next one may have to take its place.
                     tokio::task::yield_now().await;
                 }
@@ -116,30 +147,43 @@
         }
     }
 
-    async fn client_connection(self: Arc<Self>, stream: TcpStream, router: Router) {
-        let Some(Place { connection, .. }) = &self.connections.place() else {
+    /// A client connection's life here: to its end, or until a successor goes on with it. `kept`: another process has
+    /// served it so far, and has or has not answered on it.
+    async fn client_connection(self: Arc<Self>, stream: TcpStream, kept: Option<bool>, router: Router) {
+        let Some(Place { connection, .. }) = &self.connections.place(self.kin.connections()) else {
             return debug!("connection.refused");
         };
+        if kept == Some(true) {
+            connection.keep();
+        }
         if let Err(error) = stream.set_nodelay(true) {
             debug!(%error, "connection.nodelay");
         }
         let service = service_fn(|request| self.respond(request, connection, router.clone()));
         let io = TokioIo::new(Watched { stream, connection: connection.clone() });
-        let serving = http1::Builder::new().max_buf_size(HEAD_LIMIT).serve_connection(io, service);
-        tokio::pin!(serving);
+        let mut serving = http1::Builder::new().max_buf_size(HEAD_LIMIT).serve_connection(io, service);
         let mut state = self.life.subscribe();
+        let mut successor = self.kin.successor();
         let mut closing = false;
         let served = loop {
+            let succeeded = async {
+                drop(successor.wait_for(Option::is_some).await);
+                connection.rests().await;
+            };
             tokio::select! {
-                served = serving.as_mut() => break served,
+                served = Pin::new(&mut serving) => break served,
                 () = connection.ended() => return debug!("connection.evicted"),
                 () = async { drop(state.wait_for(|state| state.closes_idle()).await) }, if !closing => {
                     closing = true;
                     // One that has never been answered may have its request on the way: the answer will close it.
-                    if connection.kept() {
-                        serving.as_mut().graceful_shutdown();
+                    if connection.kept() && !self.kin.has_successor() {
+                        Pin::new(&mut serving).graceful_shutdown();
                     }
                 }
+                () = succeeded => {
+                    let stream = serving.into_parts().io.into_inner().stream;
+                    return self.pass(stream, connection.kept());
+                }
             }
         };
         if let Err(error) = served {
@@ -147,6 +191,15 @@
         }
     }
 
+    /// Gives a client connection between two requests to the successor. What the client writes meanwhile stays in the
+    /// socket.
+    fn pass(&self, stream: TcpStream, kept: bool) {
+        let (successor, descriptor) = (self.kin.successor().borrow().clone(), stream.into_std());
+        let passed = descriptor
+            .map(|stream| successor.is_some_and(|to| to.say(Word::Connection { kept }, vec![stream.into()])));
+        debug!(?passed, "connection.passed");
+    }
+
     async fn respond(
         &self,
         mut request: hyper::Request<Incoming>,
@@ -160,7 +213,8 @@
             router.call(request.map(Body::new)).await?
         };
         connection.answered();
-        if self.life.state().hangs_up() || connection.last() {
+        let stays = self.kin.has_successor() || !self.life.state().hangs_up();
+        if !stays || connection.last() {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         Ok(response)
@@ -168,7 +222,8 @@
 }
 
 async fn ready(State(front): State<Arc<Front>>) -> StatusCode {
-    if front.life.state().ready() {
+    // A successor speaks for the scheduler.
+    if front.life.state().ready() || front.kin.has_successor() {
         StatusCode::OK
     } else {
         StatusCode::SERVICE_UNAVAILABLE
@@ -186,7 +241,9 @@
     };
     match serde_json::from_slice::<Callback>(&body) {
         Ok(callback) => {
-            front.upstream.called_back(callback);
+            if !front.upstream.called_back(&callback) && !front.kin.forward(&callback, None).await {
+                debug!(request = callback.id, peer = callback.from, "callback.late");
+            }
             StatusCode::OK.into_response()
         }
         Err(error) => {
@@ -217,7 +274,7 @@
         Err(reason) => return (StatusCode::BAD_REQUEST, format!("{reason}\n")).into_response(),
     };
     // Dropped by hyper when the client closes its connection, and the receiver with it.
-    let answer = submit(front.engine.clone(), front.upstream.clone(), job).await;
+    let answer = submit(front.engine.clone(), front.upstream.clone(), front.kin.clone(), job).await;
     render(answer.unwrap_or(Answer::Failed))
 }
 
@@ -277,9 +334,8 @@
         if text("x-qos")?.is_some_and(|name| name != class_name) {
             return Err("x-qos: not the class in the path".to_string());
         }
-        let number = self.class_names.iter().position(|name| name == class_name);
-        let number = number.ok_or_else(|| format!("no class {class_name:?}"))?;
-        let class = self.classes.get(number).ok_or("no such class")?;
+        let settings = self.current.get();
+        let (number, class) = settings.class(class_name).ok_or_else(|| format!("no class {class_name:?}"))?;
         let idempotency_key = text("idempotency-key")?.map(str::to_string);
         if idempotency_key.is_none() && matches!(class.effect, Effect::Keyed { .. }) {
             return Err("idempotency-key: missing, its class needs one".to_string());
@@ -297,7 +353,7 @@
         let slots = props.split(',').find_map(|prop| prop.trim().strip_prefix("slots=")?.parse().ok());
         let request = Request {
             id,
-            class: ClassId(number as u32),
+            class: ClassId(number),
             tenant: TenantId(0),
             key: key.map(str::to_string),
             // No client of a class waits longer than this, whatever it says.
--- /dev/null
+++ b/crates/vetchbridge/src/kin.rs
@@ -0,0 +1,182 @@
+//! The other process of this scheduler, while there is one: a successor that takes over, a predecessor that ends.
+//!
+//! Owns what is known of each, and the queue of words to it. Whoever needs the other process asks here; `upgrade`
+//! carries the words. It must never wait for a process that has gone, nor hold a request up where there is none.
+
+use crate::upgrade::words::Word;
+use crate::upstream::Callback;
+use silverproxy::interface::RequestId;
+use std::collections::{HashMap, HashSet};
+use std::os::fd::OwnedFd;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::timeout;
+use tracing::warn;
+
+/// Words that wait for a slow process; beyond them it is taken for one that hangs.
+const QUEUE: usize = 8192;
+/// How long the other process may take over a callback. The peer repeats what is not answered.
+const HEARD_WITHIN: Duration = Duration::from_secs(1);
+
+/// A word and what goes with it.
+pub type Message = (Word, Vec<OwnedFd>);
+
+#[derive(Default)]
+struct Known {
+    /// The requests open there.
+    open: HashSet<u64>,
+    /// Client connections held there.
+    connections: usize,
+    /// Callbacks that it was asked about.
+    asked: HashMap<u64, oneshot::Sender<bool>>,
+    next: u64,
+}
+
+/// Another process of this scheduler.
+pub struct Link {
+    words: mpsc::Sender<Message>,
+    known: Mutex<Known>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Link {
+    /// A link, and the words that are to be carried to the other side.
+    pub fn new() -> (Arc<Link>, mpsc::Receiver<Message>) {
+        let (words, queue) = mpsc::channel(QUEUE);
+        (Arc::new(Link { words, known: Mutex::default() }), queue)
+    }
+
+    /// Says a word; false if the other side hangs or has gone.
+    pub fn say(&self, word: Word, beside: Vec<OwnedFd>) -> bool {
+        self.words.try_send((word, beside)).is_ok()
+    }
+
+    /// Whether words still wait to be carried.
+    pub fn behind(&self) -> bool {
+        self.words.capacity() < QUEUE
+    }
+
+    /// Asks whether a callback is for an attempt there.
+    async fn ask(&self, callback: Callback) -> bool {
+        let (heard, answer) = oneshot::channel();
+        let number = {
+            let known = &mut *lock(&self.known);
+            known.next += 1;
+            known.asked.insert(known.next, heard);
+            known.next
+        };
+        let answer = match self.say(Word::Callback { number, callback }, Vec::new()) {
+            true => timeout(HEARD_WITHIN, answer).await,
+            false => return false,
+        };
+        lock(&self.known).asked.remove(&number);
+        matches!(answer, Ok(Ok(true)))
+    }
+
+    /// Takes note of what the other side said of itself.
+    pub fn note(&self, word: &Word) {
+        let known = &mut *lock(&self.known);
+        match word {
+            Word::Opened(id) => drop(known.open.insert(*id)),
+            Word::Closed(id) => drop(known.open.remove(id)),
+            Word::Holds(connections) => known.connections = *connections,
+            Word::Connection { .. } => known.connections = known.connections.saturating_sub(1),
+            Word::Heard { number, known: there } => {
+                if let Some(asked) = known.asked.remove(number) {
+                    // Failure means that nobody waits for it any more.
+                    let _ = asked.send(*there);
+                }
+            }
+            _ => {}
+        }
+    }
+}
+
+/// See the head of this file.
+pub struct Kin {
+    links: Mutex<Vec<Arc<Link>>>,
+    successor: watch::Sender<Option<Arc<Link>>>,
+}
+
+impl Default for Kin {
+    fn default() -> Kin {
+        Kin { links: Mutex::default(), successor: watch::Sender::new(None) }
+    }
+}
+
+impl Kin {
+    /// Another process is there.
+    pub fn add(&self, link: Arc<Link>) {
+        lock(&self.links).push(link);
+    }
+
+    /// It has gone. If it was the successor, this process is on its own again.
+    pub fn remove(&self, link: &Arc<Link>) {
+        lock(&self.links).retain(|known| !Arc::ptr_eq(known, link));
+        let was = self.successor.send_if_modified(|successor| {
+            let was = successor.as_ref().is_some_and(|successor| Arc::ptr_eq(successor, link));
+            if was {
+                *successor = None;
+            }
+            was
+        });
+        if was {
+            warn!("upgrade.successor.gone");
+        }
+    }
+
+    /// It serves in this process's place.
+    pub fn succeeded(&self, link: Arc<Link>) {
+        self.successor.send_replace(Some(link));
+    }
+
+    /// Follows who serves in this process's place.
+    pub fn successor(&self) -> watch::Receiver<Option<Arc<Link>>> {
+        self.successor.subscribe()
+    }
+
+    /// Whether another process serves in this one's place.
+    pub fn has_successor(&self) -> bool {
+        self.successor.borrow().is_some()
+    }
+
+    fn all(&self) -> Vec<Arc<Link>> {
+        lock(&self.links).clone()
+    }
+
+    /// Gives a callback to the process that has its attempt, if it is not the one that it came from.
+    pub async fn forward(&self, callback: &Callback, from: Option<&Arc<Link>>) -> bool {
+        for link in self.all() {
+            if !from.is_some_and(|from| Arc::ptr_eq(from, &link)) && link.ask(callback.clone()).await {
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Whether a request with this id is open in another process.
+    pub fn holds(&self, id: RequestId) -> bool {
+        lock(&self.links).iter().any(|link| lock(&link.known).open.contains(&id.0))
+    }
+
+    /// Client connections that other processes hold.
+    pub fn connections(&self) -> usize {
+        lock(&self.links).iter().map(|link| lock(&link.known).connections).sum()
+    }
+
+    /// Tells every other process.
+    pub fn tell(&self, word: impl Fn() -> Word) {
+        for link in lock(&self.links).iter() {
+            link.say(word(), Vec::new());
+        }
+    }
+
+    /// Whether words to another process still wait.
+    pub fn behind(&self) -> bool {
+        lock(&self.links).iter().any(|link| link.behind())
+    }
+}
--- a/crates/vetchbridge/src/life.rs
+++ b/crates/vetchbridge/src/life.rs
@@ -29,6 +29,11 @@
         *self.state.borrow()
     }
 
+    /// Whether operators want its clients sent away.
+    pub fn quiesced(&self) -> bool {
+        self.call(|life, _| life.quiesced())
+    }
+
     /// Follows the state.
     pub fn subscribe(&self) -> watch::Receiver<State> {
         self.state.subscribe()
@@ -71,9 +76,14 @@
     /// Takes the steps that time alone brings, for as long as the process lives.
     pub async fn keep_time(&self) {
         let mut changes = self.subscribe();
+        let mut logged = "";
         loop {
             let wakes = self.call(|life, _| life.wakes());
-            info!(state = self.state().name(), "daemon.state");
+            let name = changes.borrow_and_update().name();
+            if name != logged {
+                info!(state = name, "daemon.state");
+                logged = name;
+            }
             let due = async {
                 match wakes {
                     Some(at) => sleep_until(self.began + at).await,
--- a/crates/vetchbridge/src/lifecycle.rs
+++ b/crates/vetchbridge/src/lifecycle.rs
@@ -110,6 +110,11 @@
         self.state
     }
 
+    /// Whether operators want clients sent away.
+    pub fn quiesced(&self) -> bool {
+        self.quiesced
+    }
+
     /// It can serve from now on.
     pub fn started(&mut self, now: Duration) {
         if self.state == State::Starting {
--- a/crates/vetchbridge/src/listing.rs
+++ b/crates/vetchbridge/src/listing.rs
@@ -3,11 +3,13 @@
 //! Owns the names of the list's fields. It must never ask for a list or judge one.
 
 use crate::upstream::worker_id;
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use silverproxy::interface::*;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 /// What the settings' indices are called on the sockets.
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Names {
     /// Zones.
     pub zones: Vec<String>,
@@ -29,7 +31,7 @@
 }
 
 /// One entry.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(rename_all = "camelCase")]
 pub struct Instance {
     /// The peer's name, the same at every scheduler.
@@ -57,7 +59,7 @@
 }
 
 /// A peer's state as discovery words it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Lifecycle {
     /// Takes jobs.
@@ -101,6 +103,50 @@
     }
 }
 
+/// The whole list as last told, in discovery's form: what a successor begins with.
+#[derive(Debug, Default)]
+pub struct Roster {
+    source: Option<SocketAddr>,
+    generation: Option<u64>,
+    instances: BTreeMap<String, Instance>,
+}
+
+impl Roster {
+    /// The list comes from here from now on; versions of the one before mean nothing any more.
+    pub fn move_to(&mut self, source: &Source) {
+        self.source = match source {
+            Source::Service(address) => Some(*address),
+            Source::Fixed(_) => None,
+        };
+        self.generation = None;
+    }
+
+    /// Takes news in. News without a version, such as a broken list's, leaves the version as it was.
+    pub fn tell(&mut self, kind: ListKind, generation: Option<u64>, instances: &[Instance]) {
+        if matches!(kind, ListKind::Full | ListKind::Saved) {
+            self.instances.clear();
+        }
+        for instance in instances {
+            if instance.lifecycle == Lifecycle::Removed {
+                self.instances.remove(&instance.instance_id);
+            } else {
+                self.instances.insert(instance.instance_id.clone(), instance.clone());
+            }
+        }
+        self.generation = generation.or(self.generation);
+    }
+
+    /// The list, and its version at its source if it has one.
+    pub fn whole(&self) -> (Vec<Instance>, Option<u64>) {
+        (self.instances.values().cloned().collect(), self.generation)
+    }
+
+    /// The discovery service that it is from.
+    pub fn source(&self) -> Option<SocketAddr> {
+        self.source
+    }
+}
+
 /// Where the list comes from.
 #[derive(Clone, Debug)]
 pub enum Source {
--- a/crates/vetchbridge/src/request.rs
+++ b/crates/vetchbridge/src/request.rs
@@ -5,7 +5,9 @@
 //! answer itself; it asks the module, through the engine, at each point of choice.
 
 use crate::engine::{Engine, Step};
+use crate::kin::Kin;
 use crate::logs::Id;
+use crate::upgrade::words::Word;
 use crate::upstream::{Ended, Parcel, UpstreamGroup};
 use bytes::Bytes;
 use futures_util::stream::{FuturesUnordered, StreamExt};
@@ -55,15 +57,21 @@
 
 /// Takes the request on: its life goes on in a task of its own, since attempts may outlive the client.
 /// Dropping the receiver says that the client has gone.
-pub fn submit(engine: Arc<Engine>, upstream: Arc<UpstreamGroup>, job: Job) -> oneshot::Receiver<Answer> {
+pub fn submit(
+    engine: Arc<Engine>,
+    upstream: Arc<UpstreamGroup>,
+    kin: Arc<Kin>,
+    job: Job,
+) -> oneshot::Receiver<Answer> {
     let (reply, answer) = oneshot::channel();
-    tokio::spawn(run(engine, upstream, job, reply));
+    tokio::spawn(run(engine, upstream, kin, job, reply));
     answer
 }
 
 /// Holds a request's place with the engine; given back here and nowhere else.
 struct RequestContext {
     engine: Arc<Engine>,
+    kin: Arc<Kin>,
     id: RequestId,
     class: ClassId,
     steps: UnboundedReceiver<Step>,
@@ -95,20 +103,29 @@
             self.engine.handle(Event::Withdrawn(self.id));
         }
         self.engine.close(self.id);
+        self.kin.tell(|| Word::Closed(self.id.0));
     }
 }
 
 /// One request's life.
-async fn run(engine: Arc<Engine>, upstream: Arc<UpstreamGroup>, job: Job, reply: oneshot::Sender<Answer>) {
+async fn run(
+    engine: Arc<Engine>,
+    upstream: Arc<UpstreamGroup>,
+    kin: Arc<Kin>,
+    job: Job,
+    reply: oneshot::Sender<Answer>,
+) {
     let Job { request, parcel, room: _room } = job;
     let (id, class, due) = (request.id, request.class, request.due);
 
     // Taken: the module hears of the request and owes one final answer from here on.
-    let Some(steps) = engine.open(request) else {
+    let open_elsewhere = kin.holds(id);
+    let Some(steps) = (!open_elsewhere).then(|| engine.open(request)).flatten() else {
         let _ = reply.send(Answer::Duplicate);
         return;
     };
-    let mut context = RequestContext { engine: engine.clone(), id, class, steps, reply: Some(reply) };
+    kin.tell(|| Word::Opened(id.0));
+    let mut context = RequestContext { engine: engine.clone(), kin, id, class, steps, reply: Some(reply) };
     let mut attempts = FuturesUnordered::new();
     let mut cancels: Vec<Option<oneshot::Sender<()>>> = Vec::new();
 
--- a/crates/vetchbridge/src/serve.rs
+++ b/crates/vetchbridge/src/serve.rs
@@ -6,20 +6,31 @@
 use crate::discovery::Discovery;
 use crate::engine::Engine;
 use crate::front::Front;
+use crate::kin::Kin;
 use crate::life::Life;
+use crate::listing::{Roster, Source};
 use crate::logs::Logs;
 use crate::siblings;
+use crate::snapshot::Current;
+use crate::upgrade::wire::Door;
+use crate::upgrade::{self, House, Inheritance};
 use crate::upstream::UpstreamGroup;
 use silverproxy::interface::Event;
+use silverproxy::policy::Policy;
 use std::error::Error;
-use std::sync::Arc;
+use std::io;
+use std::net::{SocketAddr, UdpSocket};
+use std::os::fd::AsFd;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{signal, Signal, SignalKind};
-use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
+use tokio::sync::mpsc::{unbounded_channel, UnboundedSender};
 use tokio::time::{sleep, Instant};
-use tracing::{error, info};
+use tracing::{error, info, warn};
 
+/// Connections that the kernel keeps for us until they are accepted.
+const BACKLOG: u32 = 1024;
 /// After SIGTERM, the listener stays at least this long: new connections keep arriving.
 const LISTEN_ON: Duration = Duration::from_millis(900);
 /// Nothing must be owed for this long before the program ends; the last answers leave the socket meanwhile.
@@ -30,40 +41,35 @@
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let hangup = signal(SignalKind::hangup())?;
-    let bind = |address| async move {
-        TcpListener::bind(address).await.map_err(|error| format!("{address}: {error}"))
+    let inheritance = match &config.handover {
+        Some(path) => upgrade::take_over(path, &config.name, config.listen).await,
+        None => None,
     };
-    let listener = bind(config.listen).await?;
-    let life = Arc::new(Life::begin(false));
+    let life = Arc::new(Life::begin(inheritance.as_ref().is_some_and(|it| it.offer.quiesced)));
     if let Some(address) = config.admin {
-        let door = bind(address).await?;
+        let door = listen(address, false)?;
         info!(address = %door.local_addr()?, "admin.listens");
         tokio::spawn(admin::serve(door, life.clone(), admin::callers(config.sockets)));
     }
     let keeper = life.clone();
     tokio::spawn(async move { keeper.keep_time().await });
-    info!(name = config.name, address = %listener.local_addr()?, "daemon.listens");
-    let (asks, asked) = unbounded_channel();
-    // To the very end: while it drains, the scheduler still places jobs and needs the list.
-    tokio::spawn(reload_on(hangup, asks.clone(), flags, logs));
-    let (engine, front) = start(config, listener, asks, asked, life.clone());
-    life.started();
+    let house = start(config, inheritance, hangup, flags, logs, life)?;
 
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
     }
-    life.terminate();
+    house.life.terminate();
     sleep(LISTEN_ON).await;
     let mut quiet_since = Instant::now();
     let mut leaving = false;
     while quiet_since.elapsed() < QUIET {
         sleep(QUIET / 10).await;
-        if !leaving && !life.state().takes() {
+        if !leaving && !house.life.state().takes() {
             leaving = true;
-            engine.handle(Event::Ending);
+            house.engine.handle(Event::Ending);
         }
-        if front.owes() {
+        if house.front.owes() || house.kin.behind() {
             quiet_since = Instant::now();
         }
     }
@@ -71,6 +77,18 @@
     Ok(())
 }
 
+/// Listens at an address; `shared`: beside another process of this scheduler, should one be there.
+fn listen(address: SocketAddr, shared: bool) -> Result<TcpListener, String> {
+    let listen = || {
+        let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+        socket.set_reuseaddr(true)?;
+        socket.set_reuseport(shared)?;
+        socket.bind(address)?;
+        socket.listen(BACKLOG)
+    };
+    listen().map_err(|error: io::Error| format!("{address}: {error}"))
+}
+
 /// Reads the configuration again at each SIGHUP. Discovery moves and the log's filter changes at once; all else is for the next start. One
 /// that can't be used changes nothing.
 async fn reload_on(mut hangup: Signal, asks: UnboundedSender<Ask>, flags: Flags, logs: Logs) {
@@ -91,38 +109,84 @@
     }
 }
 
+/// Puts everything to work, on what a predecessor handed over where there is one.
 fn start(
     config: Config,
-    listener: TcpListener,
-    asks: UnboundedSender<Ask>,
-    asked: UnboundedReceiver<Ask>,
+    inheritance: Option<Inheritance>,
+    hangup: Signal,
+    flags: Flags,
+    logs: Logs,
     life: Arc<Life>,
-) -> (Arc<Engine>, Arc<Front>) {
+) -> Result<Arc<House>, Box<dyn Error>> {
+    // Not there for others to find before the listener is ours.
+    let door = config.handover.as_deref().and_then(|path| match Door::open(path) {
+        Ok(door) => Some(door),
+        Err(error) => {
+            warn!(path = %path.display(), %error, "upgrade.impossible");
+            None
+        }
+    });
+    let shared = config.handover.is_some() && door.is_none();
+    let (mut from, mut socket, mut known, mut rest) = (None, None, (config.known, true), None);
+    if let Some(Inheritance { listener, siblings, offer, listing, wire }) = inheritance {
+        listener.set_nonblocking(true)?;
+        (from, socket) = (Some(TcpListener::from_std(listener)?), siblings);
+        let same = matches!(config.source, Source::Service(address) if Some(address) == offer.source);
+        known = (listing, same && offer.generation.is_some());
+        rest = Some((wire, offer.connections));
+    }
+    let listener = from.map_or_else(|| listen(config.listen, shared), Ok)?;
+    let spare = std::net::TcpListener::from(listener.as_fd().try_clone_to_owned()?);
+    info!(name = config.name, inherited = rest.is_some(), address = %listener.local_addr()?, "daemon.listens");
+
+    let (asks, asked) = unbounded_channel();
     let (messages, outgoing) = unbounded_channel();
-    let upstream = Arc::new(UpstreamGroup::new(config.dial_timeout, config.conn_idle));
-    let engine = Arc::new(Engine::new(config.policy, upstream.clone(), asks, messages));
+    let (kin, roster) = (Arc::new(Kin::default()), Arc::new(Mutex::new(Roster::default())));
+    let policy = Policy::new(config.snapshot.settings.clone(), config.seed)?;
+    let dial_timeout = Duration::from_micros(config.snapshot.settings.limits.dial_timeout);
+    let upstream = Arc::new(UpstreamGroup::new(dial_timeout, config.snapshot.conn_idle));
+    let engine = Arc::new(Engine::new(policy, upstream.clone(), asks.clone(), messages));
+    let current = Arc::new(Current::new(config.snapshot));
+    // To the very end: while it drains, the scheduler still places jobs and needs the list.
+    tokio::spawn(reload_on(hangup, asks, flags, logs));
     tokio::spawn(engine.clone().run_timers());
-    if let Some(config) = config.siblings {
-        let siblings = siblings::run(config, engine.clone(), outgoing);
-        tokio::spawn(async move {
-            if let Err(error) = siblings.await {
-                error!(%error, "siblings.failed");
-            }
+    let siblings = config.siblings.and_then(|config| {
+        let socket = socket.map_or_else(|| UdpSocket::bind(config.listen), Ok).and_then(|socket| {
+            let spare = socket.try_clone()?;
+            let siblings = siblings::run(config, socket, engine.clone(), kin.clone(), outgoing)?;
+            tokio::spawn(siblings);
+            Ok(spare)
         });
-    }
-    let class_names = config.names.classes.clone();
-    let discovery =
-        Discovery::start(config.source, config.names, config.known, engine.clone(), upstream.clone());
+        socket.map_err(|error| error!(%error, "siblings.failed")).ok()
+    });
+    let discovery = Discovery::start(
+        config.source,
+        current.clone(),
+        known,
+        engine.clone(),
+        upstream.clone(),
+        roster.clone(),
+    );
     tokio::spawn(discovery.run(asked));
     let front = Front::new(
         engine.clone(),
-        upstream,
-        class_names,
-        config.classes,
+        upstream.clone(),
+        current,
         config.sockets,
         config.memory,
-        life,
+        life.clone(),
+        kin.clone(),
     );
     tokio::spawn(front.clone().serve(listener));
-    (engine, front)
+    let (name, listen) = (config.name, spare.local_addr()?);
+    let house = House { name, listen, listener: spare, siblings, roster, life, engine, upstream, front, kin };
+    let house = Arc::new(house);
+    house.life.started();
+    if let Some((wire, connections)) = rest {
+        house.taken(wire, connections);
+    }
+    if let (Some(door), Some(path)) = (door, config.handover) {
+        tokio::spawn(house.clone().receive(path, door));
+    }
+    Ok(house)
 }
--- a/crates/vetchbridge/src/siblings.rs
+++ b/crates/vetchbridge/src/siblings.rs
@@ -1,9 +1,11 @@
-//! Datagrams between the schedulers of one tier. Owns the UDP socket; carries the module's messages as they
+//! Datagrams between the schedulers of one tier. Owns the UDP socket at work; carries the module's messages as they
 //! are, drops what is too long or comes from a stranger, and must never answer or repeat anything itself.
 
 use crate::config::Siblings;
 use crate::engine::Engine;
+use crate::kin::Kin;
 use silverproxy::interface::{Event, Peer};
+use std::future::Future;
 use std::io;
 use std::sync::Arc;
 use tokio::net::UdpSocket;
@@ -13,18 +15,32 @@
 /// The longest datagram allowed; a longer one voids the run.
 const LONGEST: usize = 256;
 
-/// Binds the socket and carries messages both ways for as long as the engine lives.
-pub async fn run(
+/// Carries messages both ways for as long as the engine lives; a successor hears in this process's place.
+pub fn run(
     config: Siblings,
+    socket: std::net::UdpSocket,
     engine: Arc<Engine>,
+    kin: Arc<Kin>,
+    outgoing: UnboundedReceiver<(Peer, Vec<u8>)>,
+) -> io::Result<impl Future<Output = ()>> {
+    socket.set_nonblocking(true)?;
+    Ok(carry(config, UdpSocket::from_std(socket)?, engine, kin, outgoing))
+}
+
+async fn carry(
+    config: Siblings,
+    socket: UdpSocket,
+    engine: Arc<Engine>,
+    kin: Arc<Kin>,
     mut outgoing: UnboundedReceiver<(Peer, Vec<u8>)>,
-) -> io::Result<()> {
-    let socket = UdpSocket::bind(config.listen).await?;
+) {
+    let mut successor = kin.successor();
     let mut buffer = [0; LONGEST + 1];
     loop {
+        let alone = successor.borrow_and_update().is_none();
         tokio::select! {
             message = outgoing.recv() => {
-                let Some((to, data)) = message else { return Ok(()) };
+                let Some((to, data)) = message else { return };
                 let address = match to {
                     Peer::One(number) => config.each.get(number as usize),
                     Peer::All => config.all.as_ref(),
@@ -38,7 +54,8 @@
                     _ => warn!(bytes = data.len(), ?to, "message.dropped"),
                 }
             }
-            received = socket.recv_from(&mut buffer) => match received {
+            _ = successor.changed() => {}
+            received = socket.recv_from(&mut buffer), if alone => match received {
                 Ok((length, sender)) => match config.each.iter().position(|known| *known == sender) {
                     Some(from) if length <= LONGEST => {
                         let data = buffer[..length].to_vec();
--- /dev/null
+++ b/crates/vetchbridge/src/upgrade/mod.rs
@@ -0,0 +1,299 @@
+//! Upgrades: the old and the new process of one scheduler, as one.
+//!
+//! A process that starts first asks whether another serves at its place ([`take_over`]): it is handed the clients'
+//! listener itself, so that no connection queued there is lost, the siblings' socket, and the list of peers as last
+//! told. From [`Word::Taken`] on the old one accepts nothing; each of its client connections follows as soon as it is
+//! between two requests. Callbacks reach whichever process has the job, and an id that is open in either is open.
+//!
+//! This file owns the hand-over socket and the links. It must never end a process: a successor that breaks off leaves
+//! the old one as it was, and the old one ends when it is told to.
+
+pub mod wire;
+pub mod words;
+
+use crate::engine::Engine;
+use crate::front::Front;
+use crate::kin::{Kin, Link, Message};
+use crate::life::Life;
+use crate::listing::{Listing, Roster};
+use crate::upstream::UpstreamGroup;
+use std::io;
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::os::fd::{AsFd, OwnedFd};
+use std::path::{Path, PathBuf};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use tokio::sync::mpsc::Receiver;
+use tokio::time::{sleep, timeout};
+use tracing::{debug, info, warn};
+use wire::{Door, Wire};
+use words::{Offer, Word, ENTRIES, LONGEST, VERSION};
+
+/// How long a predecessor may take over its whole offer. A new process has 6 s in all.
+const OFFERED_WITHIN: Duration = Duration::from_secs(3);
+/// How long a process that connects may take to say what it wants.
+const HELLO_WITHIN: Duration = Duration::from_secs(1);
+/// How often the other process is told how many client connections there are.
+const COUNT_EVERY: Duration = Duration::from_millis(100);
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// What a predecessor handed over.
+pub struct Inheritance {
+    /// The clients' listener.
+    pub listener: TcpListener,
+    /// The siblings' socket.
+    pub siblings: Option<UdpSocket>,
+    /// What else it said.
+    pub offer: Offer,
+    /// The list of peers.
+    pub listing: Listing,
+    /// The way to the predecessor.
+    pub wire: Wire,
+}
+
+/// Asks the process that serves at this place to hand over; `None`: there is none that will.
+pub async fn take_over(path: &Path, name: &str, listen: SocketAddr) -> Option<Inheritance> {
+    let wire = match Wire::dial(path) {
+        Ok(wire) => wire,
+        Err(error) if error.kind() == io::ErrorKind::NotFound => return None,
+        // A file that a crash or anyone else left behind.
+        Err(error) => {
+            info!(path = %path.display(), %error, "upgrade.nobody");
+            return None;
+        }
+    };
+    match timeout(OFFERED_WITHIN, inherit(wire, name, listen)).await {
+        Ok(Ok(inheritance)) => Some(inheritance),
+        Ok(Err(reason)) => {
+            warn!(path = %path.display(), reason, "upgrade.refused");
+            None
+        }
+        Err(_) => {
+            warn!(path = %path.display(), "upgrade.unanswered");
+            None
+        }
+    }
+}
+
+async fn inherit(wire: Wire, name: &str, listen: SocketAddr) -> Result<Inheritance, String> {
+    let said = |error: io::Error| error.to_string();
+    let hello = Word::Hello { version: VERSION, name: name.to_string(), listen };
+    wire.send(&hello.write(), &[]).await.map_err(said)?;
+    let mut buffer = vec![0; LONGEST];
+    let mut next = async || -> Result<Message, String> {
+        let received = wire.receive(&mut buffer).await.map_err(said)?;
+        let (bytes, descriptors) = received.ok_or("it broke off")?;
+        Ok((Word::read(&buffer[..bytes])?, descriptors))
+    };
+    let (offer, mut descriptors) = match next().await? {
+        (Word::Offer(offer), descriptors) => (offer, descriptors.into_iter()),
+        (Word::Refused(reason), _) => return Err(reason),
+        (word, _) => return Err(format!("unexpected word {word:?}")),
+    };
+    let listener = TcpListener::from(descriptors.next().ok_or("no listener came")?);
+    let siblings = descriptors.next().map(UdpSocket::from);
+    let mut listing =
+        Listing { generation: offer.generation.unwrap_or(0), reset: true, instances: Vec::new() };
+    loop {
+        match next().await? {
+            (Word::Entries(entries), _) if entries.is_empty() => break,
+            (Word::Entries(entries), _) => listing.instances.extend(entries),
+            (word, _) => return Err(format!("unexpected word {word:?}")),
+        }
+    }
+    Ok(Inheritance { listener, siblings, offer, listing, wire })
+}
+
+/// A process at work, as far as another one can take over from it.
+pub struct House {
+    /// The scheduler's name.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// The clients' listener.
+    pub listener: TcpListener,
+    /// The siblings' socket.
+    pub siblings: Option<UdpSocket>,
+    /// The list of peers.
+    pub roster: Arc<Mutex<Roster>>,
+    /// The lifecycle.
+    pub life: Arc<Life>,
+    /// The module at work.
+    pub engine: Arc<Engine>,
+    /// The upstream group.
+    pub upstream: Arc<UpstreamGroup>,
+    /// The front.
+    pub front: Arc<Front>,
+    /// The other processes.
+    pub kin: Arc<Kin>,
+}
+
+impl House {
+    /// Tells the predecessor that this process serves from now on, and keeps in touch with it.
+    pub fn taken(self: &Arc<Self>, inheritance: Wire, connections: usize) {
+        let (link, queue) = Link::new();
+        link.note(&Word::Holds(connections));
+        self.enter(&link);
+        link.say(Word::Taken, Vec::new());
+        let house = self.clone();
+        tokio::spawn(async move { house.keep(inheritance, link, queue).await });
+    }
+
+    /// Hands over to whoever asks at this path, for as long as the process lives.
+    pub async fn receive(self: Arc<Self>, path: PathBuf, mut door: Door) {
+        let mut successor = self.kin.successor();
+        loop {
+            if let Err(error) = door.publish(&path) {
+                warn!(path = %path.display(), %error, "upgrade.unpublished");
+            }
+            loop {
+                tokio::select! {
+                    accepted = door.accept() => match accepted {
+                        Ok(wire) => drop(tokio::spawn(self.clone().host(wire))),
+                        Err(error) => {
+                            warn!(%error, "upgrade.turned.away");
+                            sleep(ACCEPT_PAUSE).await;
+                        }
+                    },
+                    _ = successor.changed() => if successor.borrow_and_update().is_none() { break },
+                }
+            }
+            // The successor that has gone had put itself in this one's place.
+            match Door::open(&path) {
+                Ok(opened) => door = opened,
+                Err(error) => warn!(path = %path.display(), %error, "upgrade.impossible"),
+            }
+        }
+    }
+
+    /// One process that has come: an offer if it is this scheduler's successor, and what follows.
+    async fn host(self: Arc<Self>, wire: Wire) {
+        let mut buffer = vec![0; LONGEST];
+        let hello = match timeout(HELLO_WITHIN, wire.receive(&mut buffer)).await {
+            Ok(Ok(Some((bytes, _)))) => Word::read(&buffer[..bytes]),
+            Ok(Ok(None)) => return,
+            Ok(Err(error)) => Err(error.to_string()),
+            Err(_) => Err("it said nothing".to_string()),
+        };
+        drop(buffer);
+        let refused = match hello {
+            Ok(Word::Hello { version: VERSION, name, listen }) => {
+                let same = name == self.name && listen == self.listen;
+                (!same).then(|| format!("this is {} at {}", self.name, self.listen))
+            }
+            Ok(Word::Hello { version, .. }) => {
+                Some(format!("words of version {version} are not understood, only {VERSION}"))
+            }
+            Ok(word) => Some(format!("unexpected word {word:?}")),
+            Err(reason) => Some(reason),
+        };
+        if let Some(reason) = refused {
+            warn!(reason, "upgrade.turned.away");
+            let _ = timeout(HELLO_WITHIN, wire.send(&Word::Refused(reason).write(), &[])).await;
+            return;
+        }
+        let (link, queue) = Link::new();
+        let offered = async {
+            let ((instances, generation), source) = {
+                let roster = self.roster.lock().unwrap_or_else(PoisonError::into_inner);
+                (roster.whole(), roster.source())
+            };
+            let offer = Word::Offer(Offer {
+                quiesced: self.life.quiesced(),
+                source,
+                generation,
+                connections: self.front.connections(),
+            });
+            let mut descriptors = vec![self.listener.as_fd()];
+            descriptors.extend(self.siblings.as_ref().map(AsFd::as_fd));
+            wire.send(&offer.write(), &descriptors).await?;
+            for entries in instances.chunks(ENTRIES).chain([&[][..]]) {
+                wire.send(&Word::Entries(entries.to_vec()).write(), &[]).await?;
+            }
+            io::Result::Ok(())
+        };
+        if !matches!(timeout(OFFERED_WITHIN, offered).await, Ok(Ok(()))) {
+            return warn!("upgrade.offer.broke");
+        }
+        info!("upgrade.offered");
+        self.enter(&link);
+        self.keep(wire, link, queue).await;
+    }
+
+    /// Another process is there: it hears of what is open, and of all changes after it.
+    fn enter(&self, link: &Arc<Link>) {
+        self.kin.add(link.clone());
+        for id in self.engine.open_requests() {
+            link.say(Word::Opened(id.0), Vec::new());
+        }
+    }
+
+    /// Carries words both ways until one side ends.
+    async fn keep(&self, wire: Wire, link: Arc<Link>, mut queue: Receiver<Message>) {
+        let reading = async {
+            let mut buffer = vec![0; LONGEST];
+            loop {
+                match wire.receive(&mut buffer).await {
+                    Ok(Some((bytes, descriptors))) => match Word::read(&buffer[..bytes]) {
+                        Ok(word) => self.heard(&link, word, descriptors),
+                        Err(reason) => break warn!(reason, "upgrade.unreadable"),
+                    },
+                    Ok(None) => break,
+                    Err(error) => break debug!(%error, "upgrade.broke"),
+                }
+            }
+        };
+        let writing = async {
+            while let Some((word, beside)) = queue.recv().await {
+                let descriptors: Vec<_> = beside.iter().map(AsFd::as_fd).collect();
+                if let Err(error) = wire.send(&word.write(), &descriptors).await {
+                    return debug!(%error, "upgrade.broke");
+                }
+            }
+        };
+        let counting = async {
+            let mut told = 0;
+            loop {
+                let held = self.front.connections();
+                if held != told {
+                    told = held;
+                    link.say(Word::Holds(held), Vec::new());
+                }
+                sleep(COUNT_EVERY).await;
+            }
+        };
+        tokio::select! {
+            () = reading => {}
+            () = writing => {}
+            () = counting => {}
+        }
+        self.kin.remove(&link);
+        info!("upgrade.alone");
+    }
+
+    fn heard(&self, link: &Arc<Link>, word: Word, descriptors: Vec<OwnedFd>) {
+        link.note(&word);
+        match word {
+            Word::Taken => {
+                info!(
+                    connections = self.front.connections(),
+                    requests = self.engine.requests(),
+                    "upgrade.taken"
+                );
+                self.kin.succeeded(link.clone());
+                // Idle connections to peers are the successor's to have.
+                self.upstream.close_all_idle();
+            }
+            Word::Connection { kept } => descriptors.into_iter().for_each(|it| self.front.adopt(it, kept)),
+            Word::Callback { number, callback } => {
+                let (link, upstream, kin) = (link.clone(), self.upstream.clone(), self.kin.clone());
+                tokio::spawn(async move {
+                    let known = upstream.called_back(&callback) || kin.forward(&callback, Some(&link)).await;
+                    link.say(Word::Heard { number, known }, Vec::new());
+                });
+            }
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/vetchbridge/src/upgrade/words.rs
@@ -0,0 +1,119 @@
+//! What two processes of one scheduler say to one another, and how it is written.
+//!
+//! Owns the words and their form: one JSON object a message, with descriptors beside it where a word brings some. It
+//! must never hold a socket. A word that can't be read ends the link, as another version's would.
+
+use crate::listing::Instance;
+use crate::upstream::Callback;
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// The version of these words; processes of different versions don't take over from one another.
+pub const VERSION: u32 = 1;
+/// The longest message; a callback's body of 64 KiB fits, written as JSON.
+pub const LONGEST: usize = 160 * 1024;
+/// Entries of the list in one message.
+pub const ENTRIES: usize = 100;
+
+/// One word.
+#[derive(Debug, Serialize, Deserialize)]
+pub enum Word {
+    /// A successor: hand over what this scheduler has at this address.
+    Hello {
+        /// [`VERSION`].
+        version: u32,
+        /// The scheduler's name.
+        name: String,
+        /// Where its clients connect.
+        listen: SocketAddr,
+    },
+    /// The predecessor: here it is. Brings the clients' listener and, if there is one, the siblings' socket.
+    Offer(Offer),
+    /// The predecessor: so much of its list; the last message has none.
+    Entries(Vec<Instance>),
+    /// The predecessor: it won't.
+    Refused(String),
+    /// The successor: it serves from now on.
+    Taken,
+    /// A client connection between two requests, whose descriptor comes along.
+    Connection {
+        /// It has had an answer already.
+        kept: bool,
+    },
+    /// How many client connections the sender holds.
+    Holds(usize),
+    /// A request is open at the sender.
+    Opened(u64),
+    /// It is not any more.
+    Closed(u64),
+    /// A callback that the sender knows no attempt for.
+    Callback {
+        /// Comes back with [`Word::Heard`].
+        number: u64,
+        /// The callback.
+        callback: Callback,
+    },
+    /// What became of a callback.
+    Heard {
+        /// Its number.
+        number: u64,
+        /// Whether an attempt was there for it.
+        known: bool,
+    },
+}
+
+/// What a successor begins with.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct Offer {
+    /// Operators have sent the clients away.
+    pub quiesced: bool,
+    /// The discovery service that the list is from.
+    pub source: Option<SocketAddr>,
+    /// The list's version there, if it has one.
+    pub generation: Option<u64>,
+    /// How many client connections there are.
+    pub connections: usize,
+}
+
+impl Word {
+    /// The message.
+    pub fn write(&self) -> Vec<u8> {
+        // No map with other keys than text and no failing type is in it.
+        serde_json::to_vec(self).unwrap_or_default()
+    }
+
+    /// Reads a message.
+    pub fn read(message: &[u8]) -> Result<Word, String> {
+        serde_json::from_slice(message).map_err(|error| error.to_string())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    /// The longest callback that may arrive still fits into one message.
+    #[test]
+    fn the_longest_callback_fits() {
+        let result = "\\".repeat(64 * 1024 - 100);
+        let text = format!(
+            "{{\"id\":\"00000000000000ab\",\"from\":\"s\",\"state\":\"done\",\"result\":{result:?}}}"
+        );
+        let callback: Callback = serde_json::from_str(&text).expect("a callback");
+        let word = Word::Callback { number: u64::MAX, callback }.write();
+        assert!(word.len() <= LONGEST, "{}", word.len());
+        assert!(
+            matches!(Word::read(&word), Ok(Word::Callback { callback, .. }) if callback.result == result)
+        );
+    }
+
+    proptest! {
+        /// Nothing that arrives is more than a fault.
+        #[test]
+        fn garbage_is_a_fault(message in prop::collection::vec(any::<u8>(), 0..200)) {
+            let read = Word::read(&message);
+            prop_assert!(read.is_err() || message == read.unwrap().write() || message.contains(&b' '));
+        }
+    }
+}
--- a/crates/vetchbridge/src/upstream.rs
+++ b/crates/vetchbridge/src/upstream.rs
@@ -4,7 +4,6 @@
 //! gives it back when it is dropped. This file must never choose a peer, repeat a request by itself, or write
 //! to a peer that was told to be leaving while the attempt still waited for a connection.
 
-use crate::logs::Id;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::header::{CONTENT_LENGTH, HOST};
@@ -14,7 +13,7 @@
 use hyper_util::client::legacy::connect::{capture_connection, Connected, Connection, HttpConnector};
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use silverproxy::interface::{ListKind, MemberState, Note, RequestId, Status, WorkerId};
 use std::collections::HashMap;
 use std::future::Future;
@@ -61,7 +60,7 @@
 }
 
 /// A peer's word on a job, sent to the address that clients use.
-#[derive(Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Callback {
     /// The request's id.
     pub id: String,
@@ -78,7 +77,7 @@
 }
 
 /// What a callback may tell.
-#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Deserialize, Serialize, PartialEq, Eq)]
 #[serde(rename_all = "lowercase")]
 pub enum CallbackState {
     /// The job has started.
@@ -206,22 +205,29 @@
         }
     }
 
+    /// Closes the idle connections to every peer.
+    pub fn close_all_idle(&self) {
+        for peer in lock(&self.peers).values() {
+            *lock(&peer.client) = self.client();
+        }
+    }
+
     /// A peer's name, for the log; empty once it has left.
     pub fn name(&self, worker: WorkerId) -> String {
         lock(&self.peers).get(&worker).map(|peer| peer.name.clone()).unwrap_or_default()
     }
 
-    /// Passes a callback to the attempt that it is about, if that is still out.
-    pub fn called_back(&self, callback: Callback) {
+    /// Passes a callback to the attempt that it is about; false if none such is out here.
+    pub fn called_back(&self, callback: &Callback) -> bool {
         let Some(id) = request_id(&callback.id) else {
-            return warn!(peer = callback.from, "callback.unreadable");
+            warn!(peer = callback.from, "callback.unreadable");
+            return true;
         };
         let table = lock(&self.callbacks);
-        match table.get(&(id, worker_id(&callback.from))) {
-            // Failure means that the attempt is ending in this instant.
-            Some(inbox) => drop(inbox.send(callback)),
-            None => debug!(request = %Id(id), peer = callback.from, "callback.late"),
-        }
+        let Some(inbox) = table.get(&(id, worker_id(&callback.from))) else { return false };
+        // Failure means that the attempt is ending in this instant.
+        drop(inbox.send(callback.clone()));
+        true
     }
 
     fn client(&self) -> PeerClient {
--- a/crates/vetchbridge/tests/node.rs
+++ b/crates/vetchbridge/tests/node.rs
@@ -8,6 +8,7 @@
 use serde_json::{json, Value};
 use std::io::{BufRead, BufReader, Read};
 use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
@@ -77,11 +78,16 @@
                       "tip_multiple": 2.5, "fall": 2_000_000}}})
 }
 
-/// The daemon about to start, and the path of its configuration.
-fn daemon(config: &str) -> (Command, String) {
+/// A name for a file that no other story uses.
+fn path(ending: &str) -> PathBuf {
     static FILES: AtomicU32 = AtomicU32::new(0);
     let number = FILES.fetch_add(1, Ordering::Relaxed);
-    let path = format!("{}/{}-{number}.json", env!("CARGO_TARGET_TMPDIR"), std::process::id());
+    PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{}-{number}{ending}", std::process::id()))
+}
+
+/// The daemon about to start, and the path of its configuration.
+fn daemon(config: &str) -> (Command, PathBuf) {
+    let path = path(".json");
     std::fs::write(&path, config).expect("written");
     let mut command = Command::new("sh");
     command.args(["-c", &format!("ulimit -n {SOCKETS}; exec {}", env!("CARGO_BIN_EXE_vetchbridge"))]);
@@ -89,24 +95,66 @@
     (command, path)
 }
 
-/// The daemon among scripted peers; killed when dropped.
-struct Stage {
-    daemon: Child,
-    config: String,
+/// One process of the daemon; killed when dropped.
+struct Process {
+    child: Child,
+    config: PathBuf,
     address: SocketAddr,
     admin: SocketAddr,
-    discovery: TcpListener,
-    peers: Vec<TcpListener>,
-    next_id: u64,
 }
 
-impl Drop for Stage {
+impl Drop for Process {
     fn drop(&mut self) {
-        let _ = self.daemon.kill();
-        let _ = self.daemon.wait();
+        let _ = self.child.kill();
+        let _ = self.child.wait();
     }
 }
 
+impl Process {
+    /// Starts one and waits until it listens; `folder` is where it finds a predecessor.
+    fn start(config: &Value, folder: &Path) -> Process {
+        let (mut command, path) = daemon(&config.to_string());
+        // As on the platform: the variable is as old as the process, and must not outlive a reload.
+        let told = config["discovery"].as_str().expect("an address");
+        command.env("BALANCER_DISCOVERY", told).env("TMPDIR", folder);
+        let mut child = command.spawn().expect("the daemon starts");
+        let mut log = BufReader::new(child.stderr.take().expect("piped")).lines();
+        let mut seen = Vec::new();
+        let mut listens = |event: &str| -> SocketAddr {
+            let line = log.by_ref().map_while(Result::ok).inspect(|line| seen.push(line.clone()));
+            let line = { line }.find(|line| line.contains(event)).unwrap_or_else(|| panic!("{seen:?}"));
+            line.rsplit("address=").next().expect("an address").parse().expect("an address")
+        };
+        let (admin, address) = (listens("admin.listens"), listens("daemon.listens"));
+        std::thread::spawn(move || log.for_each(drop));
+        Process { child, config: path, address, admin }
+    }
+
+    /// An operators' call and its answer.
+    async fn operate(&self, call: &str) -> String {
+        let mut stream = TcpStream::connect(self.admin).await.expect("the door is there");
+        stream.write_all(format!("{call}\n").as_bytes()).await.expect("written");
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).await.expect("an answer");
+        answer
+    }
+
+    fn signal(&self, signal: &str) {
+        let pid = self.child.id().to_string();
+        assert!(Command::new("kill").args([signal, &pid]).status().expect("kill runs").success());
+    }
+}
+
+/// The daemon among scripted peers.
+struct Stage {
+    daemon: Process,
+    folder: PathBuf,
+    known: Vec<Value>,
+    discovery: TcpListener,
+    peers: Vec<TcpListener>,
+    next_id: u64,
+}
+
 impl Stage {
     async fn set(peers: usize) -> Stage {
         Stage::set_with(peers, &[]).await
@@ -123,33 +171,22 @@
         let scripted = listeners.iter().map(|listener| listener.local_addr().expect("bound"));
         let addresses = scripted.chain(others.iter().copied()).enumerate();
         let known: Vec<Value> = addresses.map(|(n, address)| instance(n, address, "up")).collect();
-        let (mut daemon, config) = daemon(&config(discovery.local_addr().unwrap(), known.into()).to_string());
-        // As on the platform: the variable is as old as the process, and must not outlive a reload.
-        let told = discovery.local_addr().unwrap().to_string();
-        let mut daemon = daemon.env("BALANCER_DISCOVERY", told).spawn().expect("the daemon starts");
-        let mut log = BufReader::new(daemon.stderr.take().expect("piped")).lines();
-        let mut listens = |event: &str| -> SocketAddr {
-            let line = log.find(|line| line.as_ref().is_ok_and(|line| line.contains(event)));
-            let line = line.expect("a line").expect("text");
-            line.rsplit("address=").next().expect("an address").parse().expect("an address")
-        };
-        let (admin, address) = (listens("admin.listens"), listens("daemon.listens"));
-        std::thread::spawn(move || log.for_each(drop));
-        Stage { daemon, config, address, admin, discovery, peers: listeners, next_id: 0xab00 }
+        let folder = path("");
+        std::fs::create_dir(&folder).expect("a folder");
+        let daemon = Process::start(&config(discovery.local_addr().unwrap(), known.clone().into()), &folder);
+        Stage { daemon, folder, known, discovery, peers: listeners, next_id: 0xab00 }
     }
 
-    /// An operators' call and its answer.
-    async fn operate(&self, call: &str) -> String {
-        let mut stream = TcpStream::connect(self.admin).await.expect("the door is there");
-        stream.write_all(format!("{call}\n").as_bytes()).await.expect("written");
-        let mut answer = String::new();
-        stream.read_to_string(&mut answer).await.expect("an answer");
-        answer
+    /// Starts the next process of the scheduler beside the one that serves. Its own list is empty.
+    fn successor(&self) -> Process {
+        let mut config = config(self.discovery.local_addr().unwrap(), json!([]));
+        config["listen"] = self.daemon.address.to_string().into();
+        Process::start(&config, &self.folder)
     }
 
     /// What `/health/ready` says on a connection of its own.
     async fn readiness(&self) -> Message {
-        let mut front = dial(self.address).await;
+        let mut front = dial(self.daemon.address).await;
         front.send("GET /health/ready HTTP/1.1\r\nhost: x\r\n\r\n").await;
         front.read().await.expect("an answer")
     }
@@ -165,7 +202,7 @@
     async fn job(&mut self, class: &str, key: &str) -> (Wire, String) {
         self.next_id += 1;
         let id = format!("{:016x}", self.next_id);
-        let mut client = dial(self.address).await;
+        let mut client = dial(self.daemon.address).await;
         client
             .hand_in(&format!("/{class}/{key}"), &format!("X-Trace-Id: {id}\r\nX-Qos: {class}\r\n"), "work")
             .await;
@@ -174,18 +211,13 @@
 
     /// A peer's word on a job; it must be answered 200 whatever it says.
     async fn call_back(&self, id: &str, peer: usize, state: &str) {
-        let mut wire = dial(self.address).await;
+        let mut wire = dial(self.daemon.address).await;
         let body =
             json!({"id": id, "from": format!("s-{peer}"), "state": state, "result": "made"}).to_string();
         wire.hand_in("/callback", "", &body).await;
         assert_eq!(status(&wire.read().await), "200");
     }
 
-    fn signal(&self, signal: &str) {
-        let pid = self.daemon.id().to_string();
-        assert!(Command::new("kill").args([signal, &pid]).status().expect("kill runs").success());
-    }
-
     /// Hands in jobs of many keys, and lets peer 0 and no other serve them.
     async fn peer_0_serves(&mut self, class: &str) {
         for key in 0..8 {
@@ -214,7 +246,7 @@
 #[tokio::test]
 async fn a_job_passes_unchanged_and_its_callback_may_overtake_the_202() {
     let stage = Stage::set(1).await;
-    let mut client = dial(stage.address).await;
+    let mut client = dial(stage.daemon.address).await;
     let headers =
         "X-Trace-Id: 00000000000000ab\r\nX-Qos: safe\r\nX-Expires-In: 30000m\r\nIdempotency-Key: 5c0f\r\n";
     client.hand_in("/safe/a%2Fb?q=%20", headers, "some work").await;
@@ -451,25 +483,25 @@
     peer.read().await.expect("the job");
     peer.send(ACCEPTED).await;
 
-    std::fs::write(&stage.config, "{").expect("written");
-    stage.signal("-HUP");
+    std::fs::write(&stage.daemon.config, "{").expect("written");
+    stage.daemon.signal("-HUP");
     for version in [3, 2] {
         let moved = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = moved.local_addr().unwrap();
         let file = config(address, json!([])).to_string();
-        std::fs::write(&stage.config, file).expect("written");
-        stage.signal("-HUP");
+        std::fs::write(&stage.daemon.config, file).expect("written");
+        stage.daemon.signal("-HUP");
         let mut watch = Wire::new(moved.accept().await.expect("the new watch").0);
         assert_eq!(watch.asked().await, "/registry/instances");
         watch.list(version, json!([instance(0, peer_address, "up")])).await;
         assert!(watch.asked().await.contains(&format!("index={version}&")));
     }
 
-    stage.signal("-TERM");
-    stage.signal("-HUP");
+    stage.daemon.signal("-TERM");
+    stage.daemon.signal("-HUP");
     stage.call_back(&id, number, "done").await;
     assert_eq!(status(&client.read().await), "200");
-    assert!(stage.daemon.wait().expect("it ends").success());
+    assert!(stage.daemon.child.wait().expect("it ends").success());
 }
 
 /// At a planned restart nothing that was taken is lost: not ready, still taking, hanging up, then gone.
@@ -483,9 +515,9 @@
     peer.read().await.expect("the job");
     peer.send(ACCEPTED).await;
     // Never whole, so never taken: it must not hold up the end, not even until its time is up.
-    let mut half = dial(stage.address).await;
+    let mut half = dial(stage.daemon.address).await;
     half.send("POST /safe/k HTTP/1.1\r\nhost: x\r\ncontent-length: 9\r\n\r\nwork").await;
-    stage.signal("-TERM");
+    stage.daemon.signal("-TERM");
     // Readiness is asked until the signal has arrived.
     let closed = loop {
         let answer = stage.readiness().await;
@@ -504,7 +536,7 @@
         assert_eq!(answer.as_ref().unwrap().header("connection"), Some("close"));
     }
     assert!(half.read().await.is_none());
-    assert!(stage.daemon.wait().expect("it ends").success());
+    assert!(stage.daemon.child.wait().expect("it ends").success());
 }
 
 /// Operators drain a scheduler: not ready, idle connections close, what comes all the same is served and hung up on,
@@ -514,21 +546,21 @@
 #[tokio::test]
 async fn a_drained_scheduler_stays_and_takes_clients_again() {
     let mut stage = Stage::set(1).await;
-    assert_eq!(stage.operate("health").await, "ok serving\n");
-    let mut idle = dial(stage.address).await;
+    assert_eq!(stage.daemon.operate("health").await, "ok serving\n");
+    let mut idle = dial(stage.daemon.address).await;
     idle.send("GET /health/ready HTTP/1.1\r\nhost: x\r\n\r\n").await;
     assert_eq!(status(&idle.read().await), "200");
     // Connected and not heard of yet: whenever its job comes, it is owed an answer.
-    let mut slow = dial(stage.address).await;
+    let mut slow = dial(stage.daemon.address).await;
     let (mut early, early_id) = stage.job("safe", "k").await;
     let (number, mut peer) = stage.peer().await;
     peer.read().await.expect("the job");
     peer.send(ACCEPTED).await;
-    assert_eq!(stage.operate("quiesce").await, "ok draining\n");
+    assert_eq!(stage.daemon.operate("quiesce").await, "ok draining\n");
     let not_ready = stage.readiness().await;
     assert_eq!((not_ready.status(), not_ready.header("connection")), ("503", Some("close")));
     assert!(idle.read().await.is_none(), "an idle connection is closed");
-    assert_eq!(stage.operate("health").await, "ok drained\n");
+    assert_eq!(stage.daemon.operate("health").await, "ok drained\n");
     slow.hand_in("/safe/k", "X-Trace-Id: 00000000000000aa\r\n", "work").await;
     peer.read().await.expect("the slow client's job");
     peer.send(ACCEPTED).await;
@@ -543,13 +575,110 @@
         assert!(client.read().await.is_none());
     }
     for call in ["resume", "quiesce", "resume"] {
-        stage.operate(call).await;
+        stage.daemon.operate(call).await;
     }
     let ready = stage.readiness().await;
     assert_eq!((ready.status(), ready.header("connection")), ("200", None));
-    stage.operate("quiesce").await;
-    stage.signal("-TERM");
-    assert!(stage.daemon.wait().expect("it ends").success(), "a drained scheduler ends as any other");
+    stage.daemon.operate("quiesce").await;
+    stage.daemon.signal("-TERM");
+    assert!(stage.daemon.child.wait().expect("it ends").success(), "a drained scheduler ends as any other");
+}
+
+/// Two processes are one scheduler. Connections, jobs in flight and the list go over; nobody is hung up on, a callback
+/// finds its job, an open id is open in both, and only the old process ends.
+#[rstest]
+#[timeout(HANG)]
+#[tokio::test]
+async fn a_successor_takes_over_and_no_client_notices() {
+    let mut stage = Stage::set(1).await;
+    let mut watch = Wire::new(stage.discovery.accept().await.expect("the watch").0);
+    watch.asked().await;
+    watch.list(70, json!(stage.known)).await;
+    assert!(watch.asked().await.contains("index=70&"));
+    let mut idle = dial(stage.daemon.address).await;
+    idle.send("GET /health/ready HTTP/1.1\r\nhost: x\r\n\r\n").await;
+    assert_eq!(status(&idle.read().await), "200");
+    let mut fresh = dial(stage.daemon.address).await;
+    let (mut early, early_id) = stage.job("unsafe", "k").await;
+    let (number, mut old_peer) = stage.peer().await;
+    old_peer.read().await.expect("the job");
+    old_peer.send(ACCEPTED).await;
+    stage.call_back(&early_id, number, "started").await;
+
+    let successor = stage.successor();
+    assert_eq!(successor.operate("health").await, "ok serving\n");
+    let mut watch = Wire::new(stage.discovery.accept().await.expect("the successor's watch").0);
+    assert!(watch.asked().await.contains("index=70&"), "it goes on from the list that it was given");
+    // The old one has heard that it is succeeded once it passes connections on.
+    let (mut client, id) = stage.job("safe", "k").await;
+    let (number, mut new_peer) = stage.peer().await;
+    assert_eq!(new_peer.read().await.expect("the job").header("x-trace-id"), Some(id.as_str()));
+    new_peer.send(ACCEPTED).await;
+    let mut twin = dial(stage.daemon.address).await;
+    twin.hand_in("/safe/k", &format!("X-Trace-Id: {early_id}\r\n"), "").await;
+    assert_eq!(status(&twin.read().await), "409", "the old one has it open");
+    stage.call_back(&early_id, number, "done").await;
+    stage.call_back(&id, number, "done").await;
+    for client in [&mut early, &mut client] {
+        let answer = client.read().await.expect("an answer");
+        assert_eq!((answer.status(), answer.header("connection")), ("200", None));
+    }
+    stage.daemon.signal("-TERM");
+    assert!(stage.daemon.child.wait().expect("it ends").success());
+    assert!(old_peer.read().await.is_none(), "its connections have gone with it");
+    for (number, kept) in [&mut idle, &mut fresh, &mut early, &mut client].into_iter().enumerate() {
+        kept.hand_in("/safe/k", &format!("X-Trace-Id: 00000000000000a{number}\r\n"), "work").await;
+        assert_eq!(new_peer.asked().await, "/safe/k", "the same connection, another process");
+        new_peer.send(ACCEPTED).await;
+        stage.call_back(&format!("00000000000000a{number}"), 0, "done").await;
+        assert_eq!(status(&kept.read().await), "200");
+    }
+}
+
+/// A successor that breaks off leaves the old process as it was; one after another may come, also while drained.
+#[rstest]
+#[timeout(HANG)]
+#[tokio::test]
+async fn a_successor_that_dies_is_survived_and_the_next_one_heard() {
+    let stage = Stage::set(1).await;
+    for _ in 0..2 {
+        let mut successor = stage.successor();
+        assert_eq!(successor.operate("health").await, "ok serving\n");
+        successor.child.kill().expect("killed");
+        // Connections queue at the listener, which both held, until the old one has noticed.
+        assert_eq!(stage.readiness().await.status(), "200");
+    }
+    stage.daemon.operate("quiesce").await;
+    let second = stage.successor();
+    assert!(second.operate("health").await.starts_with("ok drain"));
+    assert_eq!(stage.readiness().await.status(), "503");
+    second.operate("resume").await;
+    let third = stage.successor();
+    drop(stage.daemon.operate("health").await);
+    assert_eq!(third.operate("health").await, "ok serving\n");
+    second.signal("-TERM");
+    stage.daemon.signal("-TERM");
+    assert_eq!(stage.readiness().await.status(), "200");
+}
+
+/// Whatever lies where a predecessor would be found, a process starts all the same.
+#[rstest]
+#[case::nothing(|_: &Path| {})]
+#[case::garbage(|path: &Path| std::fs::write(path, "garbage").expect("written"))]
+#[case::left_by_a_crash(|path: &Path| drop(std::os::unix::net::UnixListener::bind(path).expect("bound")))]
+#[timeout(HANG)]
+#[tokio::test]
+async fn what_a_crash_left_behind_keeps_nobody_from_starting(#[case] leave: fn(&Path)) {
+    let stage = Stage::set(0).await;
+    let folder = path("");
+    std::fs::create_dir(&folder).expect("a folder");
+    leave(&folder.join("vetchbridge.handover"));
+    let config = config(stage.discovery.local_addr().unwrap(), json!([]));
+    let first = Process::start(&config, &folder);
+    let mut next = config.clone();
+    next["listen"] = first.address.to_string().into();
+    let next = Process::start(&next, &folder);
+    assert_eq!(next.operate("health").await, "ok serving\n");
 }
 
 /// What can't be finished before the end is answered all the same, and the peer is told to stop.
@@ -563,10 +692,10 @@
     peer.read().await.expect("the job");
     peer.send(ACCEPTED).await;
     stage.call_back(&id, number, "started").await;
-    stage.signal("-TERM");
+    stage.daemon.signal("-TERM");
     assert_eq!(status(&client.read().await), "503");
     assert_eq!(peer.read().await.expect("a call").line, format!("DELETE /jobs/{id} HTTP/1.1"));
-    assert!(stage.daemon.wait().expect("it ends").success());
+    assert!(stage.daemon.child.wait().expect("it ends").success());
 }
 
 /// No input ends the program or reaches a peer half understood.
@@ -602,19 +731,19 @@
         ("/callback", String::new(), "{\"id\":\"0\",\"from\":\"?\",\"state\":\"done\"}", "200"),
     ];
     for (target, headers, body, expected) in cases {
-        let mut client = dial(stage.address).await;
+        let mut client = dial(stage.daemon.address).await;
         client.hand_in(target, &headers, body).await;
         assert_eq!(status(&client.read().await), expected, "{target} {headers}");
     }
     // Refused by its length alone: not one byte of the body is sent here.
-    let mut huge = dial(stage.address).await;
+    let mut huge = dial(stage.daemon.address).await;
     huge.send("POST /safe/k HTTP/1.1\r\nhost: x\r\ncontent-length: 62914560\r\n\r\n").await;
     assert_eq!(status(&huge.read().await), "413");
     let (mut client, id) = stage.job("safe", "k").await;
     let (number, mut peer) = stage.peer().await;
     peer.read().await.expect("the job");
     // A second request under an id that is still open would rob the first of its answer.
-    let mut twin = dial(stage.address).await;
+    let mut twin = dial(stage.daemon.address).await;
     twin.hand_in("/safe/k", &format!("X-Trace-Id: {id}\r\n"), "").await;
     assert_eq!(status(&twin.read().await), "409");
     peer.send(ACCEPTED).await;
@@ -634,7 +763,7 @@
     #[case] answer: Option<&str>,
 ) {
     let stage = Stage::set(1).await;
-    let mut client = dial(stage.address).await;
+    let mut client = dial(stage.daemon.address).await;
     client.send(sent).await;
     let last = client.read().await;
     assert_eq!(last.is_some().then(|| status(&last)), answer);
@@ -649,7 +778,7 @@
     let mut stage = Stage::set(1).await;
     let mut crowd = Vec::new();
     for _ in 0..2 * SOCKETS {
-        crowd.push(dial(stage.address).await);
+        crowd.push(dial(stage.daemon.address).await);
     }
     let (mut client, id) = stage.job("safe", "k").await;
     stage.serve_next(&id).await;
