Swap the settings whole at SIGHUP; open jobs keep their class

A request is read and entered with the module in one step (`request::submit`), so its class number never meets other settings. The module holds an open request's class by value. Way not taken: numbers of classes that are never used again, kept by the daemon, since the module would then hold classes that no settings name; and a second module for the new settings, which would forget ring, learnt bounds and cold workers.

Turned down whole: what can't be read, a deadline or number of attempts that is no number above 0, and a key that the document in force has and the new one lacks (a file cut at a brace can be a JSON object). Faults are named one by one.

--- a/crates/silverproxy/src/interface.rs
+++ b/crates/silverproxy/src/interface.rs
@@ -44,7 +44,7 @@
 pub struct TimerToken(pub u64);
 
 /// What repeating a request of a class does.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Effect {
     /// May run any number of times.
     Safe,
@@ -56,6 +56,7 @@
         window: Micros,
     },
     /// Must never run twice.
+    #[default]
     Unsafe,
 }
 
@@ -71,7 +72,7 @@
 }
 
 /// One class of requests.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Class {
     /// Answer within this time for the full worth.
     pub aim: Micros,
@@ -241,6 +242,9 @@
         if self.dispatchers == 0 || self.me >= self.dispatchers {
             return bad("me", "must be below the number of dispatchers");
         }
+        if self.classes.iter().any(|class| class.deadline == 0) {
+            return bad("services[].deadline", "must be above 0");
+        }
         if self.limits.max_attempts == 0 {
             return bad("limits.max_attempts", "must be at least 1");
         }
@@ -460,6 +464,9 @@
         /// The worker's load report, if one came along.
         load: Option<LoadReport>,
     },
+    /// Other settings, from now on. Requests that are open keep their class, which may be gone from the new ones or
+    /// stand there under another number. They have passed [`Settings::check`].
+    Settings(Box<Settings>),
     /// A message from another dispatcher.
     PeerMessage {
         /// Its number.
--- a/crates/silverproxy/src/policy.rs
+++ b/crates/silverproxy/src/policy.rs
@@ -106,7 +106,10 @@
 /// A request that is owed its final answer.
 #[derive(Default)]
 struct Open {
-    class: usize,
+    /// As it was when the request came; newer settings don't touch it.
+    class: Class,
+    /// Attempts allowed, by the settings then and by any since.
+    most: u32,
     key: u64,
     slots: f64,
     /// Expected work; 0 without a hint.
@@ -317,6 +320,7 @@
             }
             Event::Note { request, attempt, note } => self.on_note(now, request, attempt, note),
             Event::StreamStarted { .. } | Event::PeerMessage { .. } => {}
+            Event::Settings(settings) => self.on_settings(*settings),
             Event::Withdrawn(request) => self.close(now, request, actions),
             Event::Timer(token) => self.on_timer(now, token, actions),
             Event::Ending => {
@@ -329,6 +333,14 @@
         }
     }
 
+    /// Other settings bind from here on; ring, learnt bounds and what is open survive them.
+    fn on_settings(&mut self, settings: Settings) {
+        self.allowance = settings.tenants.iter().map(|t| (t.allowance_per_s, 0)).collect();
+        self.workers.iter_mut().for_each(|worker| worker.tells_start = settings.tells_start);
+        self.open.values_mut().for_each(|open| open.most = open.most.min(settings.limits.max_attempts));
+        self.settings = settings;
+    }
+
     fn random(&mut self) -> f64 {
         self.random = self.random.wrapping_add(0x9e37_79b9_7f4a_7c15);
         (mix(self.random) >> 11) as f64 / (1u64 << 53) as f64
@@ -338,10 +350,7 @@
 
     fn on_members(&mut self, now: Micros, kind: ListKind, members: Vec<Member>, actions: &mut Vec<Action>) {
         match kind {
-            ListKind::Failed => {
-                self.ask_pending = false;
-                actions.push(Action::Log(format!("worker list call failed {} times", self.asked)));
-            }
+            ListKind::Failed => self.ask_pending = false,
             ListKind::Saved => {}
             ListKind::Changes | ListKind::Full => {
                 self.ask_pending = true;
@@ -475,7 +484,7 @@
     fn candidates(&mut self, now: Micros, id: RequestId) -> Vec<usize> {
         let coin = self.random();
         let Some(open) = self.open.get(&id) else { return Vec::new() };
-        let class = &self.settings.classes[open.class];
+        let class = &open.class;
         let rules = &self.settings.rules;
         let anchor = open.attempts.iter().find(|a| a.may_have_run != Some(false));
         let health = !self.trouble_is_shared();
@@ -548,13 +557,9 @@
         if self.open.contains_key(&request.id) {
             return;
         }
-        let class = request.class.0 as usize;
-        if class >= self.settings.classes.len() {
-            let limits = &self.settings.limits;
-            let retry_after = if limits.retry_after { limits.max_retry_after } else { 0 };
-            actions.push(Action::Refuse { request: request.id, retry_after });
-            return;
-        }
+        let Some(class) = self.settings.classes.get(request.class.0 as usize).cloned() else {
+            return actions.push(Action::Fail { request: request.id });
+        };
         let key = request.key.as_deref().map_or_else(|| mix(request.id.0), hash_key);
         let (width, key_load) = if request.key.is_some() { self.spread(now, key) } else { (1, 0.0) };
         let over_share = self.over_share(now, request.tenant);
@@ -565,7 +570,8 @@
         self.by_sequence.insert(sequence, request.id);
         let (arrived, due, retry) = (now, request.due, request.retry);
         let work = request.expected_work.unwrap_or(0);
-        let sized = Open { slots, work, width, key_load, over_share, retry, ..Open::default() };
+        let most = self.settings.limits.max_attempts;
+        let sized = Open { most, slots, work, width, key_load, over_share, retry, ..Open::default() };
         self.open.insert(request.id, Open { class, key, arrived, due, sequence, ..sized });
         let at = request.due.saturating_sub(self.guard()).max(now);
         actions.push(Action::SetTimer { at, token: TimerToken(TIMER_REQUEST << 56 | sequence) });
@@ -617,7 +623,7 @@
         }
         let (slots, over_share, attempts) = (open.slots, open.over_share, open.attempts.len());
         // Past its aim a job waits for spare room, or queues would stay long and make all that follows late.
-        let aim = self.settings.classes[open.class].aim;
+        let aim = open.class.aim;
         let late = now.saturating_sub(open.arrived) > if open.retry { aim / 2 } else { aim };
         let gave_up_waiting = open.probing_until.is_some_and(|until| now >= until);
         let candidates = self.candidates(now, id);
@@ -729,11 +735,11 @@
 
     /// Whether the rules and limits allow a further attempt.
     fn may_send_again(&self, now: Micros, open: &Open) -> bool {
-        if open.attempts.len() >= self.settings.limits.max_attempts as usize {
+        if open.attempts.len() >= open.most as usize {
             return false;
         }
         let Some(first) = open.attempts.iter().find(|a| a.may_have_run != Some(false)) else { return true };
-        match self.settings.classes[open.class].effect {
+        match open.class.effect {
             Effect::Safe => true,
             Effect::Keyed { window, .. } => now + self.settings.tick < first.sent + window,
             Effect::Unsafe => false,
@@ -742,12 +748,11 @@
 
     /// When a refused client should come back: once the first worker of its class is thought to have room,
     /// no sooner than a held request would look again. 0, no advice, where clients are not told.
-    fn advice(&self, now: Micros, class: usize) -> Micros {
+    fn advice(&self, now: Micros, kind: Option<KindId>) -> Micros {
         let limits = &self.settings.limits;
         if !limits.retry_after {
             return 0;
         }
-        let kind = self.settings.classes[class].kind;
         let able = self.workers.iter().filter(|w| w.ready && kind.is_none_or(|kind| kind == w.kind));
         let room = able.map(|w| w.full_until.max(w.ejected_until).saturating_sub(now)).min();
         room.map_or(limits.max_retry_after, |wait| wait.max(HOLD_BLIND)).min(limits.max_retry_after)
@@ -757,12 +762,12 @@
     fn give_up(&mut self, now: Micros, id: RequestId, actions: &mut Vec<Action>) {
         let Some(open) = self.open.get(&id) else { return };
         let harmless = open.attempts.iter().all(|a| a.may_have_run == Some(false))
-            || match self.settings.classes[open.class].effect {
+            || match open.class.effect {
                 Effect::Safe | Effect::Keyed { group: RepeatGroup::All, .. } => true,
                 Effect::Keyed { .. } | Effect::Unsafe => false,
             };
         actions.push(if harmless {
-            Action::Refuse { request: id, retry_after: self.advice(now, open.class) }
+            Action::Refuse { request: id, retry_after: self.advice(now, open.class.kind) }
         } else {
             Action::Fail { request: id }
         });
@@ -820,15 +825,11 @@
         self.workers[at].out.swap_remove(place);
         self.workers[at].started.retain(|s| s.attempt != (id, attempt.0));
         self.learn(now, at, load);
-        let shared = self.trouble_is_shared();
         self.judge(now, at, status, latency);
         if status == Status::Silent {
             // Where one connection fell silent, the others that stand idle are not to be trusted either.
             actions.push(Action::CloseIdle(worker));
         }
-        if self.trouble_is_shared() && !shared {
-            actions.push(Action::Log(format!("{} workers failing: none is passed over", self.ejected)));
-        }
         if let Some(tried) = self.open.get_mut(&id).and_then(|o| o.attempts.get_mut(attempt.0 as usize)) {
             tried.may_have_run = Some(!status.never_ran());
         }
--- a/crates/silverproxy/tests/rules.rs
+++ b/crates/silverproxy/tests/rules.rs
@@ -226,3 +226,61 @@
         assert_eq!(sent(&d.request(id + 1, SAFE, "k")), worker);
     }
 }
+
+#[test]
+fn open_jobs_keep_their_class_and_its_effect_when_the_settings_change() {
+    for (before, after, resent) in [
+        (Effect::Safe, Effect::Unsafe, true),
+        (Effect::Unsafe, Effect::Safe, false),
+        (Effect::Keyed { group: RepeatGroup::Cell, window: 2 * S }, Effect::Unsafe, true),
+    ] {
+        let with = |effect, classes| Settings { classes: vec![class(effect); classes], ..settings() };
+        let mut d = Driver::with_fleet(with(before, 2), 23);
+        let open = sent(&d.request(1, 1, "k"));
+        // The class that it was taken under is the second; there is but one now, and it is another.
+        d.event(Event::Settings(Box::new(with(after, 1))));
+        assert_eq!(
+            sends(&d.event(outcome(1, 0, open, Status::Error))).len(),
+            usize::from(resent),
+            "{before:?}"
+        );
+        let new = sent(&d.request(2, 0, "k"));
+        let again = sends(&d.event(outcome(2, 0, new, Status::Error))).len();
+        assert_eq!(again, usize::from(after == Effect::Safe), "{after:?}");
+        assert!(failed(&d.request(3, 1, "k")), "there is no such class any more");
+    }
+}
+
+#[test]
+fn a_change_of_the_number_of_attempts_lowers_it_for_open_jobs_and_never_raises_it() {
+    for (before, after) in [(4, 2), (2, 4)] {
+        let with =
+            |max_attempts| Settings { limits: Limits { max_attempts, ..settings().limits }, ..settings() };
+        let mut d = Driver::with_fleet(with(before), 12);
+        let mut worker = sent(&d.request(1, SAFE, "k"));
+        d.event(Event::Settings(Box::new(with(after))));
+        worker = sent(&d.event(outcome(1, 0, worker, Status::Error)));
+        let last = d.event(outcome(1, 1, worker, Status::Error));
+        assert!(sends(&last).is_empty() && refused(&last), "{before} to {after}: {last:?}");
+        let mut attempts = 1;
+        worker = sent(&d.request(2, SAFE, "k"));
+        while let Some(next) = sends(&d.event(outcome(2, attempts - 1, worker, Status::Full))).first() {
+            (worker, attempts) = (*next, attempts + 1);
+        }
+        assert_eq!(attempts, after);
+    }
+}
+
+#[test]
+fn the_ring_and_what_was_learned_survive_other_settings() {
+    let mut d = Driver::with_fleet(settings(), 12);
+    let homes: Vec<WorkerId> = (0..40).map(|n| sent(&d.request(n, UNSAFE, &format!("key-{n}")))).collect();
+    let full = homes[0];
+    d.event(outcome(0, 0, full, Status::Full));
+    let fewer = Settings { classes: vec![class(Effect::Unsafe)], ..settings() };
+    d.event(Event::Settings(Box::new(fewer)));
+    for (n, home) in homes.iter().enumerate() {
+        let there = sent(&d.request(100 + n as u64, 0, &format!("key-{n}")));
+        assert_eq!(there == *home, *home != full, "key-{n}");
+    }
+}
--- a/crates/vetchbridge/src/config/mod.rs
+++ b/crates/vetchbridge/src/config/mod.rs
@@ -48,6 +48,8 @@
     pub snapshot: Snapshot,
     /// Seed of the module's random numbers.
     pub seed: u64,
+    /// The platform's document as it stands in its file, where the configuration is one.
+    pub document: Option<Value>,
     /// The log.
     pub log: file::Log,
 }
@@ -135,9 +137,15 @@
     combine(flags, When::Start)
 }
 
-/// Reads it again in a running daemon: `discovery` and the log's filter are the file's now.
-pub fn reload(flags: &Flags) -> Result<Config, ConfigError> {
-    combine(flags, When::Reload)
+/// Reads it again in a running daemon: `discovery` and the log's filter are the file's now. What the document in force
+/// has, a new one may not lack: a file that was written in part must not be taken for a whole one.
+pub fn reload(flags: &Flags, in_force: Option<&Value>) -> Result<Config, ConfigError> {
+    let config = combine(flags, When::Reload)?;
+    match (in_force, &config.document) {
+        (Some(old), Some(new)) => platform::nothing_lacks(old, new).map(|()| config),
+        (Some(_), None) => Err(ConfigError::one("configuration", "", "not a JSON object any more", "")),
+        (None, _) => Ok(config),
+    }
 }
 
 fn combine(flags: &Flags, when: When) -> Result<Config, ConfigError> {
@@ -399,6 +407,7 @@
                     .filter(|idle| !idle.is_zero())
                     .unwrap_or(platform::CONN_IDLE),
             },
+            document: None,
             log: file.log.clone(),
         })
     }
--- a/crates/vetchbridge/src/config/platform.rs
+++ b/crates/vetchbridge/src/config/platform.rs
@@ -43,6 +43,36 @@
         self.optional(Some(object), key, key)
     }
 
+    /// As [`Document::bad`], unless the key, with or without its place in a list, was named already.
+    fn bad_once(&mut self, key: &str, what: impl ToString) {
+        let without_place = |known: &str| {
+            let parts = known.split('[').map(|part| part.split_once(']').map_or(part, |(_, rest)| rest));
+            parts.collect::<Vec<_>>().join("[]")
+        };
+        if !self.faults.iter().any(|fault| fault.key == key || without_place(&fault.key) == key) {
+            self.bad(key, what);
+        }
+    }
+
+    /// Every deadline and the number of attempts has to be a number above 0; each that is not is named.
+    fn counts(&mut self, settings: &Value) {
+        let services = settings.get("services").and_then(Value::as_array).into_iter().flatten();
+        let deadlines = services.enumerate().map(|(place, service)| {
+            (format!("settings.services[{place}].deadline"), service.get("deadline"))
+        });
+        let attempts = settings.get("limits").map(|limits| limits.get("max_attempts"));
+        let attempts = attempts.map(|attempts| ("settings.limits.max_attempts".to_string(), attempts));
+        for (key, value) in deadlines.chain(attempts) {
+            match value {
+                None => self.bad(&key, "missing"),
+                Some(value) if value.as_f64().is_none_or(|number| number < 1.0) => {
+                    self.bad(&key, format!("{value} is no number above 0"));
+                }
+                Some(_) => {}
+            }
+        }
+    }
+
     fn class_names(&mut self, settings: &Value) -> Vec<String> {
         let services = settings.get("services").and_then(Value::as_array).into_iter().flatten();
         let names = services.map(|service| service.get("name").and_then(Value::as_str).map(str::to_string));
@@ -69,6 +99,7 @@
             return Err(ConfigError(vec![Fault { source, at, key, what, remedy: String::new() }]));
         }
     };
+    let as_it_stands = Value::Object(root.clone());
     let mut told: Vec<(&str, &str)> = Vec::new();
     for (variable, key, flag) in [
         ("BALANCER_NAME", "name", flags.name.clone()),
@@ -107,15 +138,16 @@
         kinds: document.optional(Some(&settings_json), "kinds", "settings.kinds").unwrap_or_default(),
         classes: document.class_names(&settings_json),
     };
+    document.counts(&settings_json);
     let settings = match silverproxy_settings::from_value(&settings_json) {
         Ok(settings) => Some(settings),
         Err(fault) => {
-            document.bad(&fault.key_under("settings"), fault.reason);
+            document.bad_once(&fault.key_under("settings"), fault.reason);
             None
         }
     };
     if let Some(Err(error)) = settings.as_ref().map(Settings::check) {
-        document.bad(&format!("settings.{}", error.field), error.reason);
+        document.bad_once(&format!("settings.{}", error.field), error.reason);
     }
     let (Some(settings), true) = (settings, document.faults.is_empty()) else {
         return Err(ConfigError(document.faults));
@@ -137,6 +169,7 @@
         known: known.unwrap_or_default(),
         seed: seed.unwrap_or_default(),
         snapshot: Snapshot { settings, names, conn_idle: idle.map_or(CONN_IDLE, Duration::from_micros) },
+        document: Some(as_it_stands),
         log: super::log(&file::File::default(), flags, env),
     };
     let from =
@@ -145,3 +178,41 @@
         super::leaves(root).into_iter().map(|(key, value)| Effective { from: from(&key), key, value });
     Ok(Read { config, effective: effective.collect() })
 }
+
+/// Names every key that one document has and the next one lacks. Of lists of objects, what every entry has. The list
+/// of peers as last held is free to change.
+pub fn nothing_lacks(old: &Value, new: &Value) -> Result<(), ConfigError> {
+    fn entries(value: &Value) -> Option<Vec<&Map<String, Value>>> {
+        let list = value.as_array()?.iter().map(Value::as_object).collect::<Option<Vec<_>>>()?;
+        (!list.is_empty()).then_some(list)
+    }
+    fn walk(path: &str, old: &Value, new: &Value, document: &mut Document<'_>) {
+        if let (Value::Object(old), Value::Object(new)) = (old, new) {
+            for (key, value) in old.iter().filter(|(key, _)| !path.is_empty() || *key != "known") {
+                let path = if path.is_empty() { key.clone() } else { format!("{path}.{key}") };
+                match new.get(key) {
+                    None => document.bad(&path, "missing; the configuration in force has it"),
+                    Some(new) => walk(&path, value, new, document),
+                }
+            }
+        } else if let (Some(old), Some(new)) = (entries(old), entries(new)) {
+            let in_all = |key: &String| old.iter().all(|entry| entry.contains_key(key));
+            for key in old.iter().take(1).flat_map(|entry| entry.keys()).filter(|key| in_all(key)) {
+                for (place, entry) in new.iter().enumerate() {
+                    // Only a class whose repeats are dropped says where and for how long.
+                    let keyed = entry.get("repeat").is_none_or(|repeat| repeat == "keyed");
+                    if !entry.contains_key(key) && (keyed || !matches!(key.as_str(), "group" | "window")) {
+                        let what = "missing; every entry of the configuration in force has it";
+                        document.bad(&format!("{path}[{place}].{key}"), what);
+                    }
+                }
+            }
+        }
+    }
+    let mut document = Document { source: "configuration", faults: Vec::new() };
+    walk("", old, new, &mut document);
+    if document.faults.is_empty() {
+        return Ok(());
+    }
+    Err(ConfigError(document.faults))
+}
--- a/crates/vetchbridge/src/front.rs
+++ b/crates/vetchbridge/src/front.rs
@@ -363,7 +363,7 @@
             retry: text("x-second-try")? == Some("1"),
         };
         let parcel = Parcel { id: id_text.to_string(), target: target.clone(), idempotency_key, body };
-        Ok(Job { request, parcel, room: Some(room) })
+        Ok(Job { request, parcel, settings, room: Some(room) })
     }
 }
 
--- a/crates/vetchbridge/src/request.rs
+++ b/crates/vetchbridge/src/request.rs
@@ -7,6 +7,7 @@
 use crate::engine::{Engine, Step};
 use crate::kin::Kin;
 use crate::logs::Id;
+use crate::snapshot::Snapshot;
 use crate::upgrade::words::Word;
 use crate::upstream::{Ended, Parcel, UpstreamGroup};
 use bytes::Bytes;
@@ -23,6 +24,8 @@
     pub request: Request,
     /// What a peer is given, unopened.
     pub parcel: Parcel,
+    /// The settings that it was read under; they hold to its end.
+    pub settings: Arc<Snapshot>,
     /// Its share of the memory for bodies, given back with the job.
     pub room: Option<OwnedSemaphorePermit>,
 }
@@ -55,8 +58,9 @@
     }
 }
 
-/// Takes the request on: its life goes on in a task of its own, since attempts may outlive the client.
-/// Dropping the receiver says that the client has gone.
+/// Takes the request on: the module hears of it, and owes one final answer from here on. No other settings can come
+/// between its reading and this. Its life goes on in a task of its own, since attempts may outlive the client;
+/// dropping the receiver says that the client has gone.
 pub fn submit(
     engine: Arc<Engine>,
     upstream: Arc<UpstreamGroup>,
@@ -64,7 +68,16 @@
     job: Job,
 ) -> oneshot::Receiver<Answer> {
     let (reply, answer) = oneshot::channel();
-    tokio::spawn(run(engine, upstream, kin, job, reply));
+    let Job { request, parcel, settings, room } = job;
+    let (id, class, due) = (request.id, request.class, request.due);
+    let open_elsewhere = kin.holds(id);
+    let Some(steps) = (!open_elsewhere).then(|| engine.open(request)).flatten() else {
+        let _ = reply.send(Answer::Duplicate);
+        return answer;
+    };
+    kin.tell(|| Word::Opened(id.0));
+    let context = RequestContext { engine, kin, settings, id, class, steps, reply: Some(reply), _room: room };
+    tokio::spawn(run(context, upstream, parcel, due));
     answer
 }
 
@@ -72,16 +85,19 @@
 struct RequestContext {
     engine: Arc<Engine>,
     kin: Arc<Kin>,
+    settings: Arc<Snapshot>,
     id: RequestId,
     class: ClassId,
     steps: UnboundedReceiver<Step>,
     reply: Option<oneshot::Sender<Answer>>,
+    _room: Option<OwnedSemaphorePermit>,
 }
 
 impl RequestContext {
     fn answer(&mut self, answer: Answer) {
         if let Some(reply) = self.reply.take() {
-            debug!(request = %Id(self.id), class = self.class.0, status = answer.name(), "request.answered");
+            let class = self.settings.names.classes.get(self.class.0 as usize).map_or("", String::as_str);
+            debug!(request = %Id(self.id), class, status = answer.name(), "request.answered");
             // Failure means that the client left in this instant; nobody is owed anything then.
             let _ = reply.send(answer);
         }
@@ -107,25 +123,9 @@
     }
 }
 
-/// One request's life.
-async fn run(
-    engine: Arc<Engine>,
-    upstream: Arc<UpstreamGroup>,
-    kin: Arc<Kin>,
-    job: Job,
-    reply: oneshot::Sender<Answer>,
-) {
-    let Job { request, parcel, room: _room } = job;
-    let (id, class, due) = (request.id, request.class, request.due);
-
-    // Taken: the module hears of the request and owes one final answer from here on.
-    let open_elsewhere = kin.holds(id);
-    let Some(steps) = (!open_elsewhere).then(|| engine.open(request)).flatten() else {
-        let _ = reply.send(Answer::Duplicate);
-        return;
-    };
-    kin.tell(|| Word::Opened(id.0));
-    let mut context = RequestContext { engine: engine.clone(), kin, id, class, steps, reply: Some(reply) };
+/// One request's life, from taken on.
+async fn run(mut context: RequestContext, upstream: Arc<UpstreamGroup>, parcel: Parcel, due: Micros) {
+    let (engine, id) = (context.engine.clone(), context.id);
     let mut attempts = FuturesUnordered::new();
     let mut cancels: Vec<Option<oneshot::Sender<()>>> = Vec::new();
 
--- a/crates/vetchbridge/src/serve.rs
+++ b/crates/vetchbridge/src/serve.rs
@@ -15,6 +15,7 @@
 use crate::upgrade::wire::Door;
 use crate::upgrade::{self, House, Inheritance};
 use crate::upstream::UpstreamGroup;
+use serde_json::Value;
 use silverproxy::interface::Event;
 use silverproxy::policy::Policy;
 use std::error::Error;
@@ -89,24 +90,55 @@
     listen().map_err(|error: io::Error| format!("{address}: {error}"))
 }
 
-/// Reads the configuration again at each SIGHUP. Discovery moves and the log's filter changes at once; all else is for the next start. One
-/// that can't be used changes nothing.
-async fn reload_on(mut hangup: Signal, asks: UnboundedSender<Ask>, flags: Flags, logs: Logs) {
-    while hangup.recv().await.is_some() {
-        match config::reload(&flags) {
-            Ok(config) => {
-                if let Err(error) = logs.refilter(&config.log.filter.0) {
-                    error!(error, "log.filter.refused");
-                }
-                match asks.send(Ask::Move(config.source)) {
-                    Ok(()) => info!("configuration.read"),
-                    Err(_) => error!("discovery.absent"),
+/// What a new configuration may change in a process at work.
+struct Tuned {
+    /// The platform's document in force, if it is one.
+    document: Option<Value>,
+    asks: UnboundedSender<Ask>,
+    engine: Arc<Engine>,
+    upstream: Arc<UpstreamGroup>,
+    current: Arc<Current>,
+}
+
+impl Tuned {
+    /// Reads the configuration again at each SIGHUP, to the very end: while it drains, the scheduler still places jobs
+    /// and needs the list. What can't be used changes nothing at all.
+    async fn reload_on(mut self, mut hangup: Signal, flags: Flags, logs: Logs) {
+        while hangup.recv().await.is_some() {
+            match config::reload(&flags, self.document.as_ref()) {
+                Ok(config) => self.take(config, &logs),
+                Err(error) => {
+                    error.0.iter().for_each(|fault| error!(%fault, "configuration.refused"));
+                    warn!(faults = error.0.len(), "configuration.kept");
                 }
             }
-            // The old one stays.
-            Err(error) => error!(%error, "configuration.refused"),
         }
     }
+
+    /// Settings, discovery and the log's filter change, in one step; all else is for the next start.
+    fn take(&mut self, config: Config, logs: &Logs) {
+        if let Err(error) = logs.refilter(&config.log.filter.0) {
+            error!(error, "log.filter.refused");
+        }
+        let settings = config.snapshot.settings.clone();
+        let dial_timeout = Duration::from_micros(settings.limits.dial_timeout);
+        self.upstream.retime(dial_timeout, config.snapshot.conn_idle);
+        let names = config.snapshot.names.clone();
+        let old = self.current.swap(config.snapshot);
+        if old.settings != settings {
+            self.engine.handle(Event::Settings(Box::new(settings)));
+        }
+        self.document = config.document;
+        // The list in hand was told under other indices.
+        let renamed = (&old.names.zones, &old.names.kinds) != (&names.zones, &names.kinds);
+        let fetch = renamed.then_some(Ask::Fetch);
+        for ask in [Ask::Move(config.source)].into_iter().chain(fetch) {
+            if self.asks.send(ask).is_err() {
+                error!("discovery.absent");
+            }
+        }
+        info!(classes = names.classes.join(","), "configuration.read");
+    }
 }
 
 /// Puts everything to work, on what a predecessor handed over where there is one.
@@ -147,8 +179,14 @@
     let upstream = Arc::new(UpstreamGroup::new(dial_timeout, config.snapshot.conn_idle));
     let engine = Arc::new(Engine::new(policy, upstream.clone(), asks.clone(), messages));
     let current = Arc::new(Current::new(config.snapshot));
-    // To the very end: while it drains, the scheduler still places jobs and needs the list.
-    tokio::spawn(reload_on(hangup, asks, flags, logs));
+    let tuned = Tuned {
+        document: config.document,
+        asks,
+        engine: engine.clone(),
+        upstream: upstream.clone(),
+        current: current.clone(),
+    };
+    tokio::spawn(tuned.reload_on(hangup, flags, logs));
     tokio::spawn(engine.clone().run_timers());
     let siblings = config.siblings.and_then(|config| {
         let socket = socket.map_or_else(|| UdpSocket::bind(config.listen), Ok).and_then(|socket| {
--- a/crates/vetchbridge/src/upstream.rs
+++ b/crates/vetchbridge/src/upstream.rs
@@ -126,12 +126,29 @@
 pub struct UpstreamGroup {
     peers: Mutex<HashMap<WorkerId, Arc<Peer>>>,
     callbacks: Arc<Table<Callback>>,
-    dial_timeout: Duration,
+    times: Mutex<Times>,
+}
+
+/// How long things may take.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Times {
+    dial: Duration,
     /// A connected peer that has not taken a job within this time is silent.
     taken_within: Duration,
     idle: Duration,
 }
 
+impl Times {
+    /// `conn_idle` is when peers close an idle connection themselves.
+    fn new(dial: Duration, conn_idle: Duration) -> Times {
+        // Half of the peers' own time: a connection is never written to when it may just have expired.
+        let idle = conn_idle / 2;
+        // As long as a dial may take: each is one round trip of a peer that lives.
+        let taken_within = if dial.is_zero() { TAKEN_WITHIN } else { dial };
+        Times { dial, taken_within, idle }
+    }
+}
+
 /// An attempt's place in the table of callbacks.
 struct Inbox {
     table: Arc<Table<Callback>>,
@@ -148,11 +165,16 @@
 impl UpstreamGroup {
     /// A group without peers. `conn_idle` is when peers close an idle connection themselves.
     pub fn new(dial_timeout: Duration, conn_idle: Duration) -> UpstreamGroup {
-        // Half of the peers' own time: a connection is never written to when it may just have expired.
-        let idle = conn_idle / 2;
-        // As long as a dial may take: each is one round trip of a peer that lives.
-        let taken_within = if dial_timeout.is_zero() { TAKEN_WITHIN } else { dial_timeout };
-        UpstreamGroup { peers: Mutex::default(), callbacks: Arc::default(), dial_timeout, taken_within, idle }
+        let times = Mutex::new(Times::new(dial_timeout, conn_idle));
+        UpstreamGroup { peers: Mutex::default(), callbacks: Arc::default(), times }
+    }
+
+    /// Other times hold from now on, for every peer; attempts that are out keep theirs.
+    pub fn retime(&self, dial_timeout: Duration, conn_idle: Duration) {
+        let times = Times::new(dial_timeout, conn_idle);
+        if std::mem::replace(&mut *lock(&self.times), times) != times {
+            self.close_all_idle();
+        }
     }
 
     /// Follows discovery's news: for each peer its name, address and state.
@@ -233,11 +255,12 @@
     fn client(&self) -> PeerClient {
         let mut tcp = HttpConnector::new();
         tcp.set_nodelay(true);
-        tcp.set_connect_timeout(Some(self.dial_timeout).filter(|t| !t.is_zero()));
+        let times = *lock(&self.times);
+        tcp.set_connect_timeout(Some(times.dial).filter(|t| !t.is_zero()));
         Client::builder(TokioExecutor::new())
             // A resend that the module does not know of would be a second attempt.
             .retry_canceled_requests(false)
-            .pool_idle_timeout(self.idle)
+            .pool_idle_timeout(times.idle)
             .pool_max_idle_per_host(IDLE_PER_PEER)
             .pool_timer(TokioTimer::new())
             .build(Dialer(tcp))
@@ -272,9 +295,10 @@
         let mut accepted = false;
         // A peer takes a job at once or not at all: one that stays silent must not hold it to its deadline.
         let mut connection = exchange.connection.clone();
+        let taken_within = lock(&self.times).taken_within;
         let silence = async {
             drop(connection.wait_for_connection_metadata().await);
-            tokio::time::sleep(self.taken_within).await;
+            tokio::time::sleep(taken_within).await;
         };
         tokio::pin!(silence);
         loop {
--- a/crates/vetchbridge/tests/node.rs
+++ b/crates/vetchbridge/tests/node.rs
@@ -14,6 +14,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver};
 
 /// A story that stands still fails; none of them measures time.
 const HANG: Duration = Duration::from_secs(60);
@@ -101,6 +102,7 @@
     config: PathBuf,
     address: SocketAddr,
     admin: SocketAddr,
+    log: UnboundedReceiver<String>,
 }
 
 impl Drop for Process {
@@ -126,8 +128,9 @@
             line.rsplit("address=").next().expect("an address").parse().expect("an address")
         };
         let (admin, address) = (listens("admin.listens"), listens("daemon.listens"));
-        std::thread::spawn(move || log.for_each(drop));
-        Process { child, config: path, address, admin }
+        let (lines, heard) = unbounded_channel();
+        std::thread::spawn(move || log.map_while(Result::ok).for_each(|line| drop(lines.send(line))));
+        Process { child, config: path, address, admin, log: heard }
     }
 
     /// An operators' call and its answer.
@@ -139,6 +142,16 @@
         answer
     }
 
+    /// The next line of the log with this event.
+    async fn logs(&mut self, event: &str) -> String {
+        loop {
+            let line = self.log.recv().await.expect("it runs");
+            if line.contains(event) {
+                return line;
+            }
+        }
+    }
+
     fn signal(&self, signal: &str) {
         let pid = self.child.id().to_string();
         assert!(Command::new("kill").args([signal, &pid]).status().expect("kill runs").success());
@@ -504,6 +517,122 @@
     assert!(stage.daemon.child.wait().expect("it ends").success());
 }
 
+/// Other settings bind at SIGHUP, also where a class has another's number now. What is open keeps the class that it was
+/// taken under, through its repeats, also when there is no such class any more.
+#[rstest]
+#[timeout(HANG)]
+#[tokio::test]
+async fn new_settings_bind_and_open_jobs_keep_their_class() {
+    let mut stage = Stage::set(2).await;
+    let (mut dropped, dropped_id) = stage.job("unsafe", "k").await;
+    let (dropped_peer, mut wire) = stage.peer().await;
+    wire.read().await.expect("the job");
+    wire.send(ACCEPTED).await;
+    let (mut once_safe, once_safe_id) = stage.job("safe", "k").await;
+    wire.read().await.expect("the job, on the same connection");
+
+    let mut other = config(stage.discovery.local_addr().unwrap(), json!(stage.known));
+    let services = other["settings"]["services"].as_array_mut().expect("classes");
+    // safe, unsafe, keyed become keyed, fresh, safe; and safe may not be repeated any more.
+    services.rotate_right(1);
+    services[1] = services[2].clone();
+    services[1]["name"] = "fresh".into();
+    services[2]["name"] = "safe".into();
+    services[2]["repeat"] = "unsafe".into();
+    services[0].as_object_mut().expect("a class").remove("window");
+    services[0]["repeat"] = "safe".into();
+    std::fs::write(&stage.daemon.config, other.to_string()).expect("written");
+    stage.daemon.signal("-HUP");
+    assert!(stage.daemon.logs("configuration.read").await.contains("keyed,fresh,safe"));
+
+    let mut gone = dial(stage.daemon.address).await;
+    gone.hand_in("/unsafe/k", "X-Trace-Id: 00000000000000aa\r\n", "").await;
+    assert_eq!(status(&gone.read().await), "400", "there is no such class any more");
+    // Broken before its 202: one that was taken as safe goes on to the other peer, a new one does not.
+    drop(wire);
+    stage.serve_next(&once_safe_id).await;
+    assert_eq!(status(&once_safe.read().await), "200");
+    let (mut now_unsafe, _) = stage.job("safe", "k").await;
+    let (_, mut wire) = stage.peer().await;
+    wire.read().await.expect("the job");
+    drop(wire);
+    assert_eq!(status(&now_unsafe.read().await), "502");
+    let (mut fresh, fresh_id) = stage.job("fresh", "k").await;
+    stage.serve_next(&fresh_id).await;
+    assert_eq!(status(&fresh.read().await), "200");
+    stage.call_back(&dropped_id, dropped_peer, "done").await;
+    assert_eq!(status(&dropped.read().await), "200");
+}
+
+/// A file that can't be used is turned down whole, `discovery` and classes included, and each fault is named.
+#[rstest]
+#[timeout(HANG)]
+#[tokio::test]
+async fn faulty_settings_are_turned_down_whole() {
+    let mut stage = Stage::set(0).await;
+    let mut other = config(SocketAddr::from(([127, 0, 0, 1], 9)), json!([]));
+    other["settings"]["services"][1]["name"] = "fresh".into();
+    let text = other.to_string();
+    let with = |path: &str, value: Value| {
+        let mut faulty = other.clone();
+        *faulty.pointer_mut(path).expect("a key") = value;
+        faulty.to_string()
+    };
+    let without = |path: &str, key: &str| {
+        let mut faulty = other.clone();
+        faulty
+            .pointer_mut(path)
+            .and_then(Value::as_object_mut)
+            .expect("an object")
+            .remove(key)
+            .expect("a key");
+        faulty.to_string()
+    };
+    let (deadline, attempts) = ("/settings/services/2/deadline", "/settings/limits/max_attempts");
+    let mut cases = vec![
+        (String::new(), "class"),
+        ("{}".to_string(), "settings"),
+        (text[..text.len() / 2].to_string(), "not a JSON object"),
+        (text[..text.len() - 1].to_string(), "not a JSON object"),
+        (text.replace("60000000", "NaN"), "not a JSON object"),
+        (text.replace("60000000", "1e999"), "not a JSON object"),
+        (without("", "settings"), "settings"),
+        (without("", "discovery"), "discovery"),
+        (without("", "limits"), "limits"),
+        (without("", "admin"), "admin"),
+        (without("/settings", "services"), "settings.services"),
+        (without("/settings/limits", "dial_timeout"), "settings.limits.dial_timeout"),
+        (without("/settings/rules", "cold"), "settings.rules.cold"),
+        (without("/settings/services/1", "importance"), "settings.services[1].importance"),
+        (without("/settings/services/2", "deadline"), "settings.services[2].deadline"),
+        (without("/settings/services/2", "window"), "window"),
+    ];
+    for value in [json!(0), json!(-1), json!(0.5), json!("5"), json!(null), json!(true), json!([])] {
+        cases.push((with(deadline, value.clone()), "settings.services[2].deadline"));
+        cases.push((with(attempts, value), "settings.limits.max_attempts"));
+    }
+    cases.push((with(attempts, json!(1u64 << 32)), "settings.limits.max_attempts"));
+    for (faulty, key) in cases {
+        std::fs::write(&stage.daemon.config, &faulty).expect("written");
+        stage.daemon.signal("-HUP");
+        let mut said = stage.daemon.logs("configuration.").await;
+        while !said.contains("configuration.kept") {
+            assert!(!said.contains("configuration.read"), "{key}: {faulty}");
+            said += &stage.daemon.logs("configuration.").await;
+        }
+        assert!(said.contains(key), "{key} in {said} for {faulty}");
+    }
+    let mut client = dial(stage.daemon.address).await;
+    client.hand_in("/fresh/k", "X-Trace-Id: 00000000000000aa\r\n", "").await;
+    assert_eq!(status(&client.read().await), "400");
+    // Two faults, two lines.
+    let both = with(deadline, json!(0)).replace("\"max_attempts\":2", "\"max_attempts\":0");
+    std::fs::write(&stage.daemon.config, both).expect("written");
+    stage.daemon.signal("-HUP");
+    assert!(stage.daemon.logs("services[2].deadline").await.contains("no number above 0"));
+    assert!(stage.daemon.logs("limits.max_attempts").await.contains("no number above 0"));
+}
+
 /// At a planned restart nothing that was taken is lost: not ready, still taking, hanging up, then gone.
 #[rstest]
 #[timeout(HANG)]
