--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -1,7 +1,7 @@
 //! The front: one address for the clients of a zone, which deals their connections out among its schedulers.
 //!
 //! One task owns the listener, the relayed connections and the watch on who is ready. It takes a scheduler in once it
-//! has answered ready, and notices late that one has gone. It must never read what it relays.
+//! has answered ready, sends nobody new to one that says it is not, and notices late that one has gone. It must never read what it relays.
 
 use crate::wire::Wire;
 use crate::{Owned, Port};
@@ -100,10 +100,11 @@
         let asked = timeout(ASK_WAIT, async {
             let mut wire = Wire::dial(backend.address).await.ok()?;
             wire.write("GET /health/ready HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n").await.ok()?;
-            wire.read().await.filter(|answer| answer.status() == "200")
+            wire.read().await
         });
-        if matches!(asked.await, Ok(Some(_))) {
-            last_ready = Some(Instant::now());
+        // Where nothing was said it may be dead, which is noticed late.
+        if let Ok(Some(answer)) = asked.await {
+            last_ready = (answer.status() == "200").then(Instant::now);
         }
         let ready = last_ready.is_some_and(|at| at.elapsed() < notice);
         backend.dealt_to.store(ready, Ordering::Relaxed);
--- a/crates/platform/src/peer.rs
+++ b/crates/platform/src/peer.rs
@@ -134,6 +134,8 @@
     Repeat(u32),
     /// Answer 202 and call back with what is no JSON, then serve it.
     Garble,
+    /// Run it, and write the 202 and every callback a byte at a time.
+    Pieces,
 }
 
 /// A callback's state and, with `running`, its share.
@@ -263,7 +265,7 @@
         for id in open.into_iter().filter(|_| told) {
             for (_, scheduler) in &self.ports {
                 let (shared, to) = (self.shared.clone(), *scheduler);
-                tokio::spawn(async move { shared.tell(to, id, &("lost", 0.0, String::new())).await });
+                tokio::spawn(async move { shared.tell(to, id, &("lost", 0.0, String::new()), false).await });
             }
         }
     }
@@ -392,7 +394,11 @@
             job.await;
             return wire.answer(202, "", "").await.ok();
         }
-        wire.answer(202, "", "").await.ok()?;
+        if act == Act::Pieces {
+            wire.write_in_pieces("HTTP/1.1 202 X\r\ncontent-length: 0\r\n\r\n").await.ok()?;
+        } else {
+            wire.answer(202, "", "").await.ok()?;
+        }
         jobs.send(Box::pin(shared.job(to, id, &message, act))).ok()
     }
 }
@@ -498,7 +504,7 @@
             };
             let telling = async {
                 while let Some(word) = told.recv().await {
-                    self.tell(to, id, &word).await;
+                    self.tell(to, id, &word, act == Act::Pieces).await;
                 }
             };
             tokio::join!(running, telling);
@@ -580,15 +586,27 @@
         result(self.runs.id_of(number), number)
     }
 
-    /// Tells one word until it is answered.
-    async fn tell(&self, to: SocketAddr, id: u64, (state, share, result): &Word) {
+    /// Tells one word until it is answered; in pieces, once.
+    async fn tell(&self, to: SocketAddr, id: u64, (state, share, result): &Word, pieces: bool) {
         let mut body = json!({"id": format!("{id:016x}"), "from": self.spec.name, "state": state});
         match *state {
             "running" => body["share"] = json!(share),
             "done" => body["result"] = json!(result),
             _ => {}
         }
-        self.tell_raw(to, body.to_string()).await;
+        let body = body.to_string();
+        if !pieces {
+            return self.tell_raw(to, body).await;
+        }
+        if let Ok(mut wire) = Wire::dial(to).await {
+            let length = body.len();
+            let text =
+                format!("POST /callback HTTP/1.1\r\nhost: x\r\ncontent-length: {length}\r\n\r\n{body}");
+            // Unheard, it is a word that was lost; that is what this peer is for.
+            if wire.write_in_pieces(&text).await.is_ok() {
+                wire.read().await;
+            }
+        }
     }
 
     async fn tell_raw(&self, to: SocketAddr, body: String) {
--- a/crates/platform/src/wire.rs
+++ b/crates/platform/src/wire.rs
@@ -125,6 +125,16 @@
         self.stream.write_all(text.as_bytes()).await
     }
 
+    /// Writes text as it is, each byte a piece of its own.
+    pub async fn write_in_pieces(&mut self, text: &str) -> io::Result<()> {
+        for byte in text.as_bytes().chunks(1) {
+            self.stream.write_all(byte).await?;
+            // The other side is to have the chance to read it alone.
+            tokio::task::yield_now().await;
+        }
+        Ok(())
+    }
+
     /// Writes a whole `POST`; `headers` are whole lines.
     pub async fn post(&mut self, target: &str, headers: &str, body: &str) -> io::Result<()> {
         let length = body.len();
--- a/crates/platform/tests/stories.rs
+++ b/crates/platform/tests/stories.rs
@@ -9,6 +9,8 @@
 use platform::wire::{Message, Wire};
 use rstest::rstest;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
 
@@ -117,6 +119,7 @@
 #[case::fail(Act::Fail, Some("202"), &["started", "failed"])]
 #[case::hand_back(Act::HandBack, Some("202"), &["returned"])]
 #[case::forget(Act::Forget, Some("202"), &[])]
+#[case::pieces(Act::Pieces, Some("202"), &["started", "done"])]
 #[case::repeat(Act::Repeat(3), Some("202"), &["started", "done", "done", "done"])]
 #[timeout(HANG)]
 #[tokio::test]
@@ -222,6 +225,8 @@
 #[timeout(HANG)]
 #[tokio::test]
 async fn the_front_deals_to_whoever_is_ready_and_notices_late_that_one_has_gone() {
+    let ready = Arc::new(AtomicBool::new(true));
+    let says = ready.clone();
     let scheduler = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let dead = platform::Port::reserve().expect("a port");
     let notice = Duration::from_millis(300);
@@ -231,10 +236,12 @@
     let serving = platform::Owned::spawn(async move {
         loop {
             let (stream, _) = scheduler.accept().await.expect("a connection");
+            let says = says.clone();
             tokio::spawn(async move {
                 let mut wire = Wire::new(stream);
                 while wire.read().await.is_some() {
-                    wire.answer(200, "", "ok").await.expect("answered");
+                    let status = if says.load(Ordering::Relaxed) { 200 } else { 503 };
+                    wire.answer(status, "", "ok").await.expect("answered");
                 }
             });
         }
@@ -247,6 +254,13 @@
         client.post("/c/k", "", "").await.expect("sent");
         assert_eq!(client.read().await.expect("an answer").text(), "ok");
     }
+    // One that says no is left alone at once, and taken in again.
+    for wanted in [false, true] {
+        ready.store(wanted, Ordering::Relaxed);
+        while (front.dealt_to() > 0) != wanted {
+            tokio::task::yield_now().await;
+        }
+    }
     drop(serving);
     while front.dealt_to() > 0 {
         tokio::task::yield_now().await;
--- a/crates/vetchbridge/src/kin.rs
+++ b/crates/vetchbridge/src/kin.rs
@@ -180,3 +180,66 @@
         lock(&self.links).iter().any(|link| link.behind())
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::upstream::CallbackState;
+
+    fn callback() -> Callback {
+        let (id, from) = ("00000000000000ab".to_string(), "s-0".to_string());
+        Callback { id, from, state: CallbackState::Started, share: 0.0, result: String::new() }
+    }
+
+    /// What another process has said of itself goes with it, and this one is on its own again.
+    #[test]
+    fn a_process_that_has_gone_holds_nothing() {
+        let kin = Kin::default();
+        let ((old, _old_queue), (new, _new_queue)) = (Link::new(), Link::new());
+        kin.add(old.clone());
+        kin.add(new.clone());
+        kin.succeeded(new.clone());
+        for (link, word) in [
+            (&old, Word::Opened(1)),
+            (&old, Word::Opened(2)),
+            (&old, Word::Closed(1)),
+            (&old, Word::Holds(5)),
+            (&old, Word::Connection { kept: true }),
+            (&new, Word::Holds(3)),
+        ] {
+            link.note(&word);
+        }
+        assert_eq!((kin.holds(RequestId(1)), kin.holds(RequestId(2)), kin.connections()), (false, true, 7));
+        kin.remove(&old);
+        assert_eq!((kin.holds(RequestId(2)), kin.connections(), kin.has_successor()), (false, 3, true));
+        kin.remove(&new);
+        assert_eq!((kin.connections(), kin.has_successor()), (0, false));
+    }
+
+    /// A callback is asked about everywhere but where it came from; one that hangs, or has gone, is not waited for.
+    #[tokio::test(start_paused = true)]
+    async fn a_callback_is_asked_about_in_turn() {
+        let kin = Kin::default();
+        assert!(!kin.forward(&callback(), None).await, "there is nobody to ask");
+        let links: Vec<_> = (0..4).map(|_| Link::new()).collect();
+        let mut queues = Vec::new();
+        for (link, queue) in links {
+            kin.add(link.clone());
+            queues.push((link, Some(queue)));
+        }
+        // The first has gone, the second hangs, from the third it came, the fourth has the job.
+        queues[0].1 = None;
+        let (knows, mut asked) = (queues[3].0.clone(), queues[3].1.take().expect("a queue"));
+        let answering = async {
+            while let Some((word, _)) = asked.recv().await {
+                if let Word::Callback { number, .. } = word {
+                    return knows.note(&Word::Heard { number, known: true });
+                }
+            }
+        };
+        let callback = callback();
+        let (known, ()) = tokio::join!(kin.forward(&callback, Some(&queues[2].0)), answering);
+        assert!(known);
+        assert!(queues[2].1.as_mut().expect("a queue").try_recv().is_err(), "it came from there");
+    }
+}
--- a/crates/vetchbridge/tests/node.rs
+++ b/crates/vetchbridge/tests/node.rs
@@ -283,6 +283,24 @@
     assert_eq!(peer.asked().await, "/safe/c");
 }
 
+/// Answers and callbacks come in pieces of any size, and are read whole.
+#[rstest]
+#[timeout(HANG)]
+#[tokio::test]
+async fn a_peer_may_write_a_byte_at_a_time() {
+    let mut stage = Stage::set(1).await;
+    let (mut client, id) = stage.job("unsafe", "k").await;
+    let (_, mut peer) = stage.peer().await;
+    peer.read().await.expect("the job");
+    peer.write_in_pieces(ACCEPTED).await.expect("the daemon reads");
+    let body = json!({"id": id, "from": "s-0", "state": "done", "result": "made"}).to_string();
+    let call = format!("POST /callback HTTP/1.1\r\nhost: x\r\ncontent-length: {}\r\n\r\n{body}", body.len());
+    let mut caller = dial(stage.daemon.address).await;
+    caller.write_in_pieces(&call).await.expect("the daemon reads");
+    assert_eq!(status(&caller.read().await), "200");
+    assert_eq!(client.read().await.expect("an answer").text(), "made");
+}
+
 /// A job that may have run is sent again only as its class allows; one that never ran always may be.
 #[rstest]
 #[case::error("HTTP/1.1 500 Oops\r\ncontent-length: 0\r\n\r\n", "", true)]
--- a/crates/vetchkit/src/cli.rs
+++ b/crates/vetchkit/src/cli.rs
@@ -2,7 +2,7 @@
 
 use crate::plan::{self, Plan};
 use crate::report::{PeerSide, Report};
-use crate::runner::{self, Interrupt, Progress};
+use crate::runner::{self, Interrupt, Progress, Trouble};
 use crate::stage::Stage;
 use crate::{bench, relay, Failure};
 use clap::{Args, CommandFactory, Parser, Subcommand};
@@ -20,6 +20,7 @@
 Examples:
   vetchkit demo                                   a whole platform under load for 20 s, and what came of it
   vetchkit demo --kill 2                          the same while two schedulers are killed
+  vetchkit demo --upgrade 2 --drain 1             the same while two are replaced and one is drained
   vetchkit plan default > plan.toml               the plan of that platform, to change
   vetchkit up plan.toml                           the platform alone, until Ctrl-C
   vetchkit load --to 127.0.0.1:8080 --rate 100    a load on addresses of yours
@@ -101,6 +102,15 @@
         /// Kill so many schedulers by SIGKILL along the load; each is back after 2 s
         #[arg(long, default_value_t = 0)]
         kill: usize,
+        /// Replace so many schedulers by a process that takes over, which no client may notice
+        #[arg(long, default_value_t = 0)]
+        upgrade: usize,
+        /// Drain so many schedulers, each for 2 s
+        #[arg(long, default_value_t = 0)]
+        drain: usize,
+        /// End each replaced process by SIGKILL: what is lost then is to show in the account
+        #[arg(long, requires = "upgrade")]
+        careless: bool,
         /// For how long; the plan's where it is absent
         #[arg(long = "for", value_name = "SPAN")]
         duration: Option<Span>,
@@ -196,10 +206,16 @@
             override_load(&mut plan, rate, duration)?;
             load(&plan, to, connections, json).await
         }
-        Command::Demo { plan, kill, duration, rate, json, staging } => {
+        Command::Demo { plan, kill, upgrade, drain, careless, duration, rate, json, staging } => {
             let mut plan = Plan::read(plan.as_deref())?;
             override_load(&mut plan, rate, duration)?;
-            demo(&plan, kill, json, &staging).await
+            let replaced = if careless { Trouble::CarelessUpgrade } else { Trouble::Upgrade };
+            let troubles = [(Trouble::Drain, drain), (replaced, upgrade), (Trouble::Kill, kill)];
+            let troubles: Vec<Trouble> = troubles
+                .into_iter()
+                .flat_map(|(trouble, times)| std::iter::repeat_n(trouble, times))
+                .collect();
+            demo(&plan, &troubles, json, &staging).await
         }
         Command::Bench { connections, turn, rounds, daemon, json } => {
             if connections == 0 || rounds == 0 {
@@ -330,7 +346,7 @@
     finish(&report, json, Vec::new())
 }
 
-async fn demo(plan: &Plan, kill: usize, json: bool, staging: &Staging) -> Result<(), Failure> {
+async fn demo(plan: &Plan, troubles: &[Trouble], json: bool, staging: &Staging) -> Result<(), Failure> {
     descriptors((plan.load.rate * 4.0).ceil() as u64 + 64 * plan.peer_specs().len() as u64)?;
     let interrupt = Interrupt::listen()?;
     let extra = staging.extra();
@@ -338,7 +354,7 @@
     let mut stage = interrupt.unless_asked(setting).await?;
     let clients = Clients::new(plan.load_spec(), vec![stage.front.address()]);
     let clients = clients.map_err(|error| Failure::BadInput(error.to_string()))?;
-    let ran = runner::run(&mut stage, clients, plan.load.duration.duration(), kill, &interrupt).await;
+    let ran = runner::run(&mut stage, clients, plan.load.duration.duration(), troubles, &interrupt).await;
     let (record, outages) = ran?;
     let peers = PeerSide { runs: stage.runs.all(), counts: stage.runs.counts() };
     let bad = stage.end().await;
--- a/crates/vetchkit/src/plan.rs
+++ b/crates/vetchkit/src/plan.rs
@@ -221,7 +221,7 @@
             return Err(faults(found));
         }
         // What the daemon would refuse is refused here, before anything is started.
-        let text = plan.scheduler(0, &[([127, 0, 0, 1], 1).into()], ([127, 0, 0, 1], 1).into(), &[]).1;
+        let text = plan.scheduler(0, &[([127, 0, 0, 1], 1).into()], ([127, 0, 0, 1], 1).into(), &[], None).1;
         if let Err(error) =
             vetchbridge::config::read_text(&format!("{source}, as a scheduler is told"), &text)
         {
@@ -294,12 +294,14 @@
         listen: &[std::net::SocketAddr],
         discovery: std::net::SocketAddr,
         known: &[(PeerSpec, std::net::SocketAddr)],
+        handover: Option<PathBuf>,
     ) -> (String, String) {
         use vetchbridge::config::units::{Address, Seed};
         let mut file = self.daemon.clone();
         file.name = format!("n{number}");
         file.listen = Address(listen[number]);
         file.discovery = Some(Address(discovery));
+        file.handover = handover;
         file.seed = Some(Seed(self.seed.wrapping_mul(0x9e37_79b9_7f4a_7c15).wrapping_add(number as u64)));
         file.tier.me = number as u32;
         file.tier.schedulers = self.schedulers.count as u32;
--- a/crates/vetchkit/src/runner.rs
+++ b/crates/vetchkit/src/runner.rs
@@ -22,6 +22,22 @@
 /// How long, beyond the front's notice, clients may still be sent to a dead scheduler: its last question and answer.
 const NOTICE_SLACK: Duration = Duration::from_millis(700);
 
+/// A drained scheduler stands so for this long.
+const DRAINED: Duration = Duration::from_secs(2);
+
+/// What a load meets on its way.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Trouble {
+    /// A scheduler is killed by SIGKILL, and is back after 2 s.
+    Kill,
+    /// A scheduler is replaced by a process that takes over.
+    Upgrade,
+    /// The same, but the old process is killed as soon as the new one can serve.
+    CarelessUpgrade,
+    /// A scheduler is drained, and takes clients again.
+    Drain,
+}
+
 /// Turns signals into a wish to stop; a second one ends the program, and its children with it.
 pub struct Interrupt {
     stop: watch::Sender<bool>,
@@ -125,12 +141,12 @@
     }
 }
 
-/// Runs a load against a stage, killing `kills` schedulers by SIGKILL along it, each back after 2 s.
+/// Runs a load against a stage, with troubles at even distances along it, each at the next scheduler in turn.
 pub async fn run(
     stage: &mut Stage,
     clients: Clients,
     duration: Duration,
-    kills: usize,
+    troubles: &[Trouble],
     interrupt: &Interrupt,
 ) -> Result<(LoadRecord, Vec<Outage>), Failure> {
     let mut progress = Progress::new(duration);
@@ -138,24 +154,32 @@
     let offset = began.duration_since(stage.began);
     let load = clients.run(began, duration, interrupt.subscribe(), move |standing| progress.show(standing));
     let mut outages = Vec::new();
-    let troubles = async {
-        for number in 0..kills {
-            sleep_until(began + duration.mul_f64((number + 1) as f64 / (kills + 1) as f64)).await;
+    let met = async {
+        for (number, trouble) in troubles.iter().enumerate() {
+            sleep_until(began + duration.mul_f64((number + 1) as f64 / (troubles.len() + 1) as f64)).await;
             let victim = number % stage.schedulers.len();
             let scheduler = &mut stage.schedulers[victim];
-            let from = began.elapsed();
-            scheduler.kill().await;
-            let noticed = from + stage.front.notice() + NOTICE_SLACK;
-            outages.push(Outage { from, until: noticed });
-            sleep(DOWN).await;
-            scheduler.restart()?;
+            match trouble {
+                Trouble::Kill => {
+                    let from = began.elapsed();
+                    scheduler.kill().await;
+                    let noticed = from + stage.front.notice() + NOTICE_SLACK;
+                    outages.push(Outage { from, until: noticed });
+                    sleep(DOWN).await;
+                    scheduler.restart()?;
+                }
+                // Nothing is excused: no scheduler is ever down.
+                Trouble::Upgrade => scheduler.upgrade(false).await?,
+                Trouble::CarelessUpgrade => scheduler.upgrade(true).await?,
+                Trouble::Drain => scheduler.drain(DRAINED).await?,
+            }
         }
         Ok::<(), Failure>(())
     };
     tokio::pin!(load);
     let record = tokio::select! {
         record = &mut load => record,
-        troubled = troubles => {
+        troubled = met => {
             troubled?;
             load.await
         }
--- a/crates/vetchkit/src/scheduler.rs
+++ b/crates/vetchkit/src/scheduler.rs
@@ -1,8 +1,9 @@
 //! A scheduler as a child process: the daemon's own binary, its file and its log.
 //!
-//! Owns the child; dropping it kills the child. It must never read more of the log than the line that says it listens.
+//! Owns the child; dropping it kills the child. Of what it does it knows what the operators' door says, and no more.
 
 use crate::{machine, Failure};
+use platform::Port;
 use rustix::process::{kill_process, Pid, Signal};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -11,9 +12,17 @@
 use std::process::{ExitStatus, Stdio};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use tokio::process::{Child, Command};
-use tokio::time::timeout;
-
+use tokio::time::{sleep, timeout, Instant};
+
+/// How long a successor may take until it can serve, and a drain until it is over.
+const SERVES_WITHIN: Duration = Duration::from_secs(6);
+/// How long an answer at the operators' door may take.
+const ANSWERS_WITHIN: Duration = Duration::from_secs(1);
+/// Between two questions at that door.
+const ASK_EVERY: Duration = Duration::from_millis(20);
 /// How long one may take to end after SIGTERM; it gives up what is open after 3.3 s.
 const END_WITHIN: Duration = Duration::from_secs(6);
 
@@ -31,10 +40,11 @@
     }
 }
 
-/// A child that runs, and its place among all of them.
+/// A child that runs, its place among all of them, and its operators' door.
 struct Running {
     child: Child,
     pid: u32,
+    admin: Port,
 }
 
 impl Drop for Running {
@@ -43,6 +53,45 @@
     }
 }
 
+impl Running {
+    /// Asks at the operators' door until the answer is one that was wanted.
+    async fn says(&self, call: &str, wanted: impl Fn(&str) -> bool) -> Result<(), Failure> {
+        let asked = Instant::now();
+        loop {
+            let answer = timeout(ANSWERS_WITHIN, async {
+                let mut stream = TcpStream::connect(self.admin.address()).await?;
+                stream.write_all(format!("{call}\n").as_bytes()).await?;
+                let mut answer = String::new();
+                stream.read_to_string(&mut answer).await?;
+                std::io::Result::Ok(answer)
+            });
+            let answer = match answer.await {
+                Ok(Ok(answer)) if wanted(answer.trim_end()) => return Ok(()),
+                Ok(Ok(answer)) => answer.trim_end().to_string(),
+                Ok(Err(error)) => error.to_string(),
+                Err(_) => "nothing".to_string(),
+            };
+            if asked.elapsed() > SERVES_WITHIN {
+                return Err(Failure::Missed(format!("{call}: the operators' door says {answer:?}")));
+            }
+            sleep(ASK_EVERY).await;
+        }
+    }
+
+    async fn end(&mut self) -> Option<ExitStatus> {
+        if let Some(pid) = self.child.id().and_then(|id| Pid::from_raw(id as i32)) {
+            let _ = kill_process(pid, Signal::TERM);
+        }
+        match timeout(END_WITHIN, self.child.wait()).await {
+            Ok(status) => status.ok(),
+            Err(_) => {
+                let _ = self.child.kill().await;
+                Some(ExitStatus::from_raw(9))
+            }
+        }
+    }
+}
+
 /// See the head of this file.
 pub struct Scheduler {
     binary: PathBuf,
@@ -88,18 +137,54 @@
 
     /// Starts it again after its end, at its address; the log goes on.
     pub fn restart(&mut self) -> Result<(), Failure> {
+        self.running = Some(self.launch()?);
+        Ok(())
+    }
+
+    fn launch(&self) -> Result<Running, Failure> {
+        let admin = Port::reserve().map_err(machine("a port for operators"))?;
         let log = std::fs::OpenOptions::new().create(true).append(true).open(&self.log);
         let log = log.map_err(machine("a scheduler's log"))?;
         let mut command = Command::new(&self.binary);
         command.arg("serve").arg("--config").arg(&self.config).args(&self.extra);
         // Its own group: a Ctrl-C is the kit's to pass on.
-        command.env_clear().stdin(Stdio::null()).stdout(Stdio::null()).stderr(log).process_group(0);
+        command
+            .env_clear()
+            .env("BALANCER_ADMIN", admin.address().to_string())
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .process_group(0);
         let child = command.kill_on_drop(true).spawn();
         let child = child.map_err(|error| Failure::Machine(format!("{}: {error}", self.binary.display())))?;
         let pid = child.id().unwrap_or_default();
         children().insert(pid);
-        self.running = Some(Running { child, pid });
-        Ok(())
+        Ok(Running { child, pid, admin })
+    }
+
+    /// Starts the next process beside the one that runs and, once it can serve, ends the old one: gracefully, or, if
+    /// `careless`, by SIGKILL with all that it had taken.
+    pub async fn upgrade(&mut self, careless: bool) -> Result<(), Failure> {
+        let next = self.launch()?;
+        next.says("health", |answer| answer.starts_with("ok")).await?;
+        let Some(mut old) = self.running.replace(next) else { return Ok(()) };
+        if careless {
+            let _ = old.child.kill().await;
+            return Ok(());
+        }
+        match old.end().await {
+            Some(status) if status.success() => Ok(()),
+            status => Err(Failure::Missed(format!("the process that was replaced ended badly: {status:?}"))),
+        }
+    }
+
+    /// Sends its clients away, lets it stand drained for a while, and takes clients again.
+    pub async fn drain(&mut self, stands: Duration) -> Result<(), Failure> {
+        let Some(running) = &self.running else { return Ok(()) };
+        running.says("quiesce", |answer| answer.starts_with("ok")).await?;
+        running.says("health", |answer| answer == "ok drained").await?;
+        tokio::time::sleep(stands).await;
+        running.says("resume", |answer| answer == "ok serving").await
     }
 
     /// Its address.
@@ -131,17 +216,7 @@
 
     /// Ends it gracefully; says how it ended.
     pub async fn end(&mut self) -> Option<ExitStatus> {
-        let mut running = self.running.take()?;
-        if let Some(pid) = running.child.id().and_then(|id| Pid::from_raw(id as i32)) {
-            let _ = kill_process(pid, Signal::TERM);
-        }
-        match timeout(END_WITHIN, running.child.wait()).await {
-            Ok(status) => status.ok(),
-            Err(_) => {
-                let _ = running.child.kill().await;
-                Some(ExitStatus::from_raw(9))
-            }
-        }
+        self.running.take()?.end().await
     }
 
     /// The last lines of its log, for a message about its end.
--- a/crates/vetchkit/src/stage.rs
+++ b/crates/vetchkit/src/stage.rs
@@ -79,8 +79,10 @@
         for number in 0..count {
             let known: Vec<_> =
                 stage.peers.iter().map(|p| (p.spec().clone(), p.addresses()[number])).collect();
-            let (_, text) = plan.scheduler(number, &addresses, stage.discovery.address(number), &known);
             let path = stage.folder().join(Plan::file_name(number));
+            let handover = Some(path.with_extension("handover"));
+            let discovery = stage.discovery.address(number);
+            let (_, text) = plan.scheduler(number, &addresses, discovery, &known, handover);
             std::fs::write(&path, text).map_err(machine("a scheduler's configuration"))?;
             stage.schedulers.push(Scheduler::start(&binary, &path, addresses[number], extra)?);
         }
--- a/crates/vetchkit/tests/commands.rs
+++ b/crates/vetchkit/tests/commands.rs
@@ -54,6 +54,35 @@
     assert!(matches!(output.status.code(), Some(0 | 3)), "{}: {report:#}", words(&output));
 }
 
+/// Upgrades and drains are to be noticed by nobody: no try loses its connection, no scheduler is ever down.
+#[test]
+fn the_demo_holds_while_schedulers_are_replaced_and_drained() {
+    let daemon = daemon();
+    let daemon = daemon.to_str().expect("text");
+    let output =
+        run(&["demo", "--for", "8s", "--upgrade", "2", "--drain", "1", "--json", "--daemon", daemon]);
+    let report: Value = serde_json::from_slice(&output.stdout).expect("JSON");
+    assert_eq!(report["violations"], serde_json::json!([]), "{report:#}");
+    assert_eq!(report["answers"]["lost"], 0, "{report:#}");
+    assert!(report["answers"]["served"].as_u64().expect("answers") > 200, "{report:#}");
+    assert!(matches!(output.status.code(), Some(0 | 3)), "{}: {report:#}", words(&output));
+}
+
+/// A hand-over that loses what the old process had is not excused.
+#[test]
+fn the_account_tells_what_a_careless_upgrade_lost() {
+    let daemon = daemon();
+    let daemon = daemon.to_str().expect("text");
+    let output = run(&["demo", "--for", "4s", "--upgrade", "1", "--careless", "--json", "--daemon", daemon]);
+    let report: Value = serde_json::from_slice(&output.stdout).expect("JSON");
+    let lost = report["violations"].as_array().expect("a list").iter();
+    assert!(
+        lost.filter(|broken| broken.to_string().contains("lost its connection")).count() > 0,
+        "{report:#}"
+    );
+    assert_eq!(output.status.code(), Some(1), "{}", words(&output));
+}
+
 #[test]
 fn a_faulty_plan_tells_every_fault_and_starts_nothing() {
     let plan = run(&["plan", "default"]).stdout;
