Publish the hand-over before the first ok, refuse a second one, and name it by scheduler

Seen: stories that dial the hand-over socket right after `daemon.listens` met "No such file or directory". The door was published by a task that ran after the process had called itself serving (`serve.rs`, `House::receive`). Until then the path still led to the predecessor, which would have handed over a second time, to a process that nobody knew of: an upgrade right behind another could have left two that think they serve. Found by reading on: at the old process `quiesce` answered `ok` after the hand-over, which was not true of the scheduler, and its `/health/ready` said yes for a scheduler that was drained; two schedulers that share a folder took each other's place at one path.

Now the door is published before anything is called serving, a process that has handed over refuses (it says so), its `quiesce` and `resume` answer `fail handed over`, readiness heeds a drain, the file carries the scheduler's name, and a process that finds a stranger there leaves the place alone. Any link that ends makes the process that is left publish its path again, since who went may have put itself there. Way not taken: a lock file, which a crash leaves behind.

--- a/crates/platform/tests/stories.rs
+++ b/crates/platform/tests/stories.rs
@@ -221,6 +221,55 @@
     Wire::dial(new).await.expect("it listens there");
 }
 
+#[rstest]
+#[timeout(HANG)]
+#[tokio::test]
+async fn discovery_falls_silent_breaks_off_and_learns_late_as_told() {
+    let discovery = Discovery::start(1).await.expect("a service");
+    let peer =
+        Peer::start(PeerSpec::new("s-0"), Runs::default(), &[discovery.address(0)]).await.expect("a peer");
+    let call = async |target: &str| {
+        let mut wire = Wire::dial(discovery.address(0)).await.expect("it listens");
+        wire.write(&format!("GET {target} HTTP/1.1\r\nhost: x\r\n\r\n")).await.expect("sent");
+        // A silent one says nothing to the end; the caller ends it.
+        tokio::io::AsyncWriteExt::shutdown(wire.socket()).await.expect("closed");
+        wire.read().await.map(|answer| answer.text())
+    };
+    for health in [Health::Mute, Health::Breaking] {
+        discovery.health(health);
+        assert_eq!(call("/registry/instances").await, None, "{health:?}");
+    }
+    discovery.health(Health::Up);
+    discovery.lateness(Duration::from_secs(2));
+    discovery.up(&peer);
+    let list = call("/registry/instances").await.expect("a list");
+    assert!(!list.contains("s-0"), "not yet: {list}");
+    let news = call("/registry/instances?index=1&wait=60000").await.expect("news");
+    assert!(news.contains("s-0"), "{news}");
+}
+
+/// A callback may overtake the 202, be unreadable, or come late from a slow peer.
+#[rstest]
+#[timeout(HANG)]
+#[tokio::test]
+async fn a_peer_tells_out_of_turn_garbled_or_slowly_as_it_is_told() {
+    let stage = Stage::set(PeerSpec { progress: Duration::ZERO, ..PeerSpec::new("s-0") }).await;
+    stage.peer.next([Act::Overtake, Act::Garble]);
+    let mut wire = stage.send(1, "", "").await;
+    assert_eq!((stage.told_state().await, stage.told_state().await), ("started".into(), "done".into()));
+    assert_eq!(wire.read().await.expect("after its words").status(), "202");
+    let mut wire = stage.send(2, "", "").await;
+    assert_eq!(wire.read().await.expect("an answer").status(), "202");
+    assert!(serde_json::from_slice::<serde_json::Value>(&stage.told().await.body).is_err());
+    assert_eq!((stage.told_state().await, stage.told_state().await), ("started".into(), "done".into()));
+    stage.peer.slow(10.0);
+    let began = std::time::Instant::now();
+    let mut wire = stage.send(3, "", "work_us=20000").await;
+    wire.read().await.expect("an answer");
+    assert_eq!((stage.told_state().await, stage.told_state().await), ("started".into(), "done".into()));
+    assert!(began.elapsed() >= Duration::from_millis(190), "{:?}", began.elapsed());
+}
+
 #[rstest]
 #[timeout(HANG)]
 #[tokio::test]
--- a/crates/vetchbridge/src/admin.rs
+++ b/crates/vetchbridge/src/admin.rs
@@ -4,6 +4,7 @@
 //! bytes, and when all places are taken one that has said nothing makes room. It must never do more than ask the
 //! lifecycle, and never let a caller hold another up.
 
+use crate::kin::Kin;
 use crate::life::Life;
 use crate::lifecycle::Refusal;
 use std::collections::VecDeque;
@@ -36,13 +37,16 @@
 }
 
 /// The answer to one line, without its end.
-fn answer(line: &[u8], life: &Life) -> String {
+fn answer(line: &[u8], life: &Life, kin: &Kin) -> String {
     let Ok(text) = std::str::from_utf8(line) else { return format!("fail not text; say {CALLS}") };
     let mut words = text.split_ascii_whitespace();
     let (call, more) = (words.next(), words.next());
     if let (Some(call @ ("health" | "quiesce" | "resume")), Some(_)) = (call, more) {
         return format!("fail {call} takes no further words");
     }
+    if matches!(call, Some("quiesce" | "resume")) && kin.has_successor() {
+        return "fail handed over; ask the successor".to_string();
+    }
     let done = match call {
         Some("health") => life.state().can_serve(),
         Some("quiesce") => {
@@ -80,10 +84,10 @@
     }
 }
 
-async fn caller(mut stream: TcpStream, life: Arc<Life>, spoke: Arc<AtomicBool>) {
+async fn caller(mut stream: TcpStream, life: Arc<Life>, kin: Arc<Kin>, spoke: Arc<AtomicBool>) {
     let words = match timeout(LINE_WAIT, line(&mut stream, &spoke)).await {
         Ok(Ok(line)) => {
-            let words = answer(&line, &life);
+            let words = answer(&line, &life, &kin);
             info!(call = %String::from_utf8_lossy(&line).trim_end(), answer = words, "admin.called");
             words
         }
@@ -102,7 +106,7 @@
 }
 
 /// Answers callers until the program ends, at most so many at once.
-pub async fn serve(listener: TcpListener, life: Arc<Life>, most: usize) {
+pub async fn serve(listener: TcpListener, life: Arc<Life>, kin: Arc<Kin>, most: usize) {
     let mut callers: VecDeque<(Arc<AtomicBool>, AbortHandle)> = VecDeque::new();
     loop {
         let stream = match listener.accept().await {
@@ -123,7 +127,7 @@
             }
         }
         let spoke = Arc::new(AtomicBool::new(false));
-        let task = tokio::spawn(caller(stream, life.clone(), spoke.clone()));
+        let task = tokio::spawn(caller(stream, life.clone(), kin.clone(), spoke.clone()));
         callers.push_back((spoke, task.abort_handle()));
     }
 }
@@ -136,7 +140,7 @@
     async fn door(life: &Arc<Life>, most: usize) -> SocketAddr {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("bound");
-        tokio::spawn(serve(listener, life.clone(), most));
+        tokio::spawn(serve(listener, life.clone(), Arc::default(), most));
         address
     }
 
--- a/crates/vetchbridge/src/config/platform.rs
+++ b/crates/vetchbridge/src/config/platform.rs
@@ -17,6 +17,12 @@
 /// When peers close an idle connection where nothing says otherwise.
 pub const CONN_IDLE: Duration = Duration::from_secs(60);
 
+/// A file's name for the hand-over between two processes of one scheduler; others may share their folder.
+fn handover(scheduler: &str) -> String {
+    let plain = |c: char| if c.is_ascii_alphanumeric() || c == '-' { c } else { '_' };
+    format!("vetchbridge-{}.handover", scheduler.chars().map(plain).take(32).collect::<String>())
+}
+
 /// Reads the document and notes what is wrong with it, all at once.
 struct Document<'s> {
     source: &'s str,
@@ -152,12 +158,14 @@
     let (Some(settings), true) = (settings, document.faults.is_empty()) else {
         return Err(ConfigError(document.faults));
     };
+    let name: String = name.unwrap_or_default();
+    let handover = env("TMPDIR").map(|folder| Path::new(&folder).join(handover(&name)));
     let config = Config {
-        name: name.unwrap_or_default(),
+        name,
         listen,
         admin,
         // What the platform keeps between two processes of one scheduler is this folder.
-        handover: env("TMPDIR").map(|folder| Path::new(&folder).join("vetchbridge.handover")),
+        handover,
         source: Source::Service(discovery),
         sockets,
         memory: memory_mb.saturating_mul(1 << 20),
--- a/crates/vetchbridge/src/front.rs
+++ b/crates/vetchbridge/src/front.rs
@@ -222,8 +222,9 @@
 }
 
 async fn ready(State(front): State<Arc<Front>>) -> StatusCode {
-    // A successor speaks for the scheduler.
-    if front.life.state().ready() || front.kin.has_successor() {
+    // With a successor the scheduler goes on, whatever becomes of this process; operators may have drained it.
+    let succeeded = front.kin.has_successor() && !front.life.quiesced();
+    if succeeded || front.life.state().ready() {
         StatusCode::OK
     } else {
         StatusCode::SERVICE_UNAVAILABLE
--- a/crates/vetchbridge/src/kin.rs
+++ b/crates/vetchbridge/src/kin.rs
@@ -10,7 +10,7 @@
 use std::os::fd::OwnedFd;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{mpsc, oneshot, watch, Notify};
 use tokio::time::timeout;
 use tracing::warn;
 
@@ -100,11 +100,12 @@
 pub struct Kin {
     links: Mutex<Vec<Arc<Link>>>,
     successor: watch::Sender<Option<Arc<Link>>>,
+    gone: Notify,
 }
 
 impl Default for Kin {
     fn default() -> Kin {
-        Kin { links: Mutex::default(), successor: watch::Sender::new(None) }
+        Kin { links: Mutex::default(), successor: watch::Sender::new(None), gone: Notify::new() }
     }
 }
 
@@ -127,6 +128,12 @@
         if was {
             warn!("upgrade.successor.gone");
         }
+        self.gone.notify_one();
+    }
+
+    /// Resolves once another process has gone.
+    pub async fn gone(&self) {
+        self.gone.notified().await;
     }
 
     /// It serves in this process's place.
--- a/crates/vetchbridge/src/serve.rs
+++ b/crates/vetchbridge/src/serve.rs
@@ -13,7 +13,7 @@
 use crate::siblings;
 use crate::snapshot::Current;
 use crate::upgrade::wire::Door;
-use crate::upgrade::{self, House, Inheritance};
+use crate::upgrade::{self, Found, House, Inheritance};
 use crate::upstream::UpstreamGroup;
 use serde_json::Value;
 use silverproxy::interface::Event;
@@ -38,23 +38,33 @@
 const QUIET: Duration = Duration::from_millis(100);
 
 /// Runs the daemon in the foreground until it is told to end and nothing is owed.
-pub async fn run(config: Config, flags: Flags, logs: Logs) -> Result<(), Box<dyn Error>> {
+pub async fn run(mut config: Config, flags: Flags, logs: Logs) -> Result<(), Box<dyn Error>> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let hangup = signal(SignalKind::hangup())?;
-    let inheritance = match &config.handover {
+    let found = match &config.handover {
         Some(path) => upgrade::take_over(path, &config.name, config.listen).await,
-        None => None,
+        None => Found::Nobody,
     };
+    let inheritance = match found {
+        Found::Predecessor(inheritance) => Some(*inheritance),
+        Found::Nobody => None,
+        Found::Stranger => {
+            // Its place is left to it; this process can't be taken over from.
+            config.handover = None;
+            None
+        }
+    };
+    let kin = Arc::new(Kin::default());
     let life = Arc::new(Life::begin(inheritance.as_ref().is_some_and(|it| it.offer.quiesced)));
     if let Some(address) = config.admin {
         let door = listen(address, false)?;
         info!(address = %door.local_addr()?, "admin.listens");
-        tokio::spawn(admin::serve(door, life.clone(), admin::callers(config.sockets)));
+        tokio::spawn(admin::serve(door, life.clone(), kin.clone(), admin::callers(config.sockets)));
     }
     let keeper = life.clone();
     tokio::spawn(async move { keeper.keep_time().await });
-    let house = start(config, inheritance, hangup, flags, logs, life)?;
+    let house = start(config, inheritance, hangup, flags, logs, (life, kin))?;
 
     tokio::select! {
         _ = terminate.recv() => {}
@@ -148,10 +158,10 @@
     hangup: Signal,
     flags: Flags,
     logs: Logs,
-    life: Arc<Life>,
+    (life, kin): (Arc<Life>, Arc<Kin>),
 ) -> Result<Arc<House>, Box<dyn Error>> {
     // Not there for others to find before the listener is ours.
-    let door = config.handover.as_deref().and_then(|path| match Door::open(path) {
+    let mut door = config.handover.as_deref().and_then(|path| match Door::open(path) {
         Ok(door) => Some(door),
         Err(error) => {
             warn!(path = %path.display(), %error, "upgrade.impossible");
@@ -169,11 +179,15 @@
     }
     let listener = from.map_or_else(|| listen(config.listen, shared), Ok)?;
     let spare = std::net::TcpListener::from(listener.as_fd().try_clone_to_owned()?);
+    // Before anyone hears that this process serves: the next one must not find its predecessor.
+    if let (Some(door), Some(path)) = (&mut door, &config.handover) {
+        door.publish(path)?;
+    }
     info!(name = config.name, inherited = rest.is_some(), address = %listener.local_addr()?, "daemon.listens");
 
     let (asks, asked) = unbounded_channel();
     let (messages, outgoing) = unbounded_channel();
-    let (kin, roster) = (Arc::new(Kin::default()), Arc::new(Mutex::new(Roster::default())));
+    let roster = Arc::new(Mutex::new(Roster::default()));
     let policy = Policy::new(config.snapshot.settings.clone(), config.seed)?;
     let dial_timeout = Duration::from_micros(config.snapshot.settings.limits.dial_timeout);
     let upstream = Arc::new(UpstreamGroup::new(dial_timeout, config.snapshot.conn_idle));
--- a/crates/vetchbridge/src/upgrade/mod.rs
+++ b/crates/vetchbridge/src/upgrade/mod.rs
@@ -52,26 +52,37 @@
     pub wire: Wire,
 }
 
-/// Asks the process that serves at this place to hand over; `None`: there is none that will.
-pub async fn take_over(path: &Path, name: &str, listen: SocketAddr) -> Option<Inheritance> {
+/// What was found at the hand-over path.
+pub enum Found {
+    /// This scheduler's process, which has handed over.
+    Predecessor(Box<Inheritance>),
+    /// Nobody that lives, or nobody that answers.
+    Nobody,
+    /// A process that lives, and is no predecessor of this one.
+    Stranger,
+}
+
+/// Asks the process that serves at this place to hand over.
+pub async fn take_over(path: &Path, name: &str, listen: SocketAddr) -> Found {
     let wire = match Wire::dial(path) {
         Ok(wire) => wire,
-        Err(error) if error.kind() == io::ErrorKind::NotFound => return None,
-        // A file that a crash or anyone else left behind.
         Err(error) => {
-            info!(path = %path.display(), %error, "upgrade.nobody");
-            return None;
+            // A file that a crash or anyone else left behind is worth a line.
+            if error.kind() != io::ErrorKind::NotFound {
+                info!(path = %path.display(), %error, "upgrade.nobody");
+            }
+            return Found::Nobody;
         }
     };
     match timeout(OFFERED_WITHIN, inherit(wire, name, listen)).await {
-        Ok(Ok(inheritance)) => Some(inheritance),
+        Ok(Ok(inheritance)) => Found::Predecessor(Box::new(inheritance)),
         Ok(Err(reason)) => {
             warn!(path = %path.display(), reason, "upgrade.refused");
-            None
+            Found::Stranger
         }
         Err(_) => {
             warn!(path = %path.display(), "upgrade.unanswered");
-            None
+            Found::Nobody
         }
     }
 }
@@ -140,29 +151,25 @@
         tokio::spawn(async move { house.keep(inheritance, link, queue).await });
     }
 
-    /// Hands over to whoever asks at this path, for as long as the process lives.
+    /// Hands over to whoever asks at this path, where the door is published, for as long as the process lives.
     pub async fn receive(self: Arc<Self>, path: PathBuf, mut door: Door) {
-        let mut successor = self.kin.successor();
         loop {
-            if let Err(error) = door.publish(&path) {
-                warn!(path = %path.display(), %error, "upgrade.unpublished");
-            }
-            loop {
-                tokio::select! {
-                    accepted = door.accept() => match accepted {
-                        Ok(wire) => drop(tokio::spawn(self.clone().host(wire))),
-                        Err(error) => {
-                            warn!(%error, "upgrade.turned.away");
-                            sleep(ACCEPT_PAUSE).await;
-                        }
-                    },
-                    _ = successor.changed() => if successor.borrow_and_update().is_none() { break },
-                }
-            }
-            // The successor that has gone had put itself in this one's place.
-            match Door::open(&path) {
-                Ok(opened) => door = opened,
-                Err(error) => warn!(path = %path.display(), %error, "upgrade.impossible"),
+            tokio::select! {
+                accepted = door.accept() => match accepted {
+                    Ok(wire) => drop(tokio::spawn(self.clone().host(wire))),
+                    Err(error) => {
+                        warn!(%error, "upgrade.turned.away");
+                        sleep(ACCEPT_PAUSE).await;
+                    }
+                },
+                // It may have put itself in this one's place before it went.
+                () = self.kin.gone() => if !self.kin.has_successor() {
+                    let opened = Door::open(&path).and_then(|mut door| door.publish(&path).map(|()| door));
+                    match opened {
+                        Ok(opened) => door = opened,
+                        Err(error) => warn!(path = %path.display(), %error, "upgrade.impossible"),
+                    }
+                },
             }
         }
     }
@@ -180,7 +187,8 @@
         let refused = match hello {
             Ok(Word::Hello { version: VERSION, name, listen }) => {
                 let same = name == self.name && listen == self.listen;
-                (!same).then(|| format!("this is {} at {}", self.name, self.listen))
+                let handed_over = self.kin.has_successor().then(|| "it has handed over already".to_string());
+                handed_over.or_else(|| (!same).then(|| format!("this is {} at {}", self.name, self.listen)))
             }
             Ok(Word::Hello { version, .. }) => {
                 Some(format!("words of version {version} are not understood, only {VERSION}"))
--- a/crates/vetchbridge/tests/node.rs
+++ b/crates/vetchbridge/tests/node.rs
@@ -15,11 +15,14 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver};
+use vetchbridge::upgrade::{self, words::VERSION};
 
 /// A story that stands still fails; none of them measures time.
 const HANG: Duration = Duration::from_secs(60);
 /// The limit on descriptors that the daemon is held to.
 const SOCKETS: u32 = 64;
+/// Where a process of this scheduler hands over, within its folder.
+const HANDOVER: &str = "vetchbridge-n0.handover";
 const ACCEPTED: &str = "HTTP/1.1 202 Accepted\r\ncontent-length: 0\r\n\r\n";
 
 /// What a story needs of a connection beyond speaking.
@@ -79,16 +82,12 @@
                       "tip_multiple": 2.5, "fall": 2_000_000}}})
 }
 
-/// A name for a file that no other story uses.
-fn path(ending: &str) -> PathBuf {
-    static FILES: AtomicU32 = AtomicU32::new(0);
-    let number = FILES.fetch_add(1, Ordering::Relaxed);
-    PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{}-{number}{ending}", std::process::id()))
-}
-
 /// The daemon about to start, and the path of its configuration.
 fn daemon(config: &str) -> (Command, PathBuf) {
-    let path = path(".json");
+    static FILES: AtomicU32 = AtomicU32::new(0);
+    let number = FILES.fetch_add(1, Ordering::Relaxed);
+    let name = format!("{}-{number}.json", std::process::id());
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
     std::fs::write(&path, config).expect("written");
     let mut command = Command::new("sh");
     command.args(["-c", &format!("ulimit -n {SOCKETS}; exec {}", env!("CARGO_BIN_EXE_vetchbridge"))]);
@@ -161,7 +160,7 @@
 /// The daemon among scripted peers.
 struct Stage {
     daemon: Process,
-    folder: PathBuf,
+    folder: tempfile::TempDir,
     known: Vec<Value>,
     discovery: TcpListener,
     peers: Vec<TcpListener>,
@@ -184,9 +183,9 @@
         let scripted = listeners.iter().map(|listener| listener.local_addr().expect("bound"));
         let addresses = scripted.chain(others.iter().copied()).enumerate();
         let known: Vec<Value> = addresses.map(|(n, address)| instance(n, address, "up")).collect();
-        let folder = path("");
-        std::fs::create_dir(&folder).expect("a folder");
-        let daemon = Process::start(&config(discovery.local_addr().unwrap(), known.clone().into()), &folder);
+        let folder = tempfile::tempdir().expect("a folder");
+        let config = config(discovery.local_addr().unwrap(), known.clone().into());
+        let daemon = Process::start(&config, folder.path());
         Stage { daemon, folder, known, discovery, peers: listeners, next_id: 0xab00 }
     }
 
@@ -194,7 +193,7 @@
     fn successor(&self) -> Process {
         let mut config = config(self.discovery.local_addr().unwrap(), json!([]));
         config["listen"] = self.daemon.address.to_string().into();
-        Process::start(&config, &self.folder)
+        Process::start(&config, self.folder.path())
     }
 
     /// What `/health/ready` says on a connection of its own.
@@ -782,6 +781,30 @@
     }
 }
 
+/// The siblings' address goes over too: two processes can't both bind it, and it must not be free in between.
+#[rstest]
+#[timeout(HANG)]
+#[tokio::test]
+async fn the_siblings_address_stays_taken_through_an_upgrade() {
+    let mut stage = Stage::set(0).await;
+    let reserved = std::net::UdpSocket::bind("127.0.0.1:0").expect("a port");
+    let siblings = reserved.local_addr().expect("bound");
+    drop(reserved);
+    let mut config = config(stage.discovery.local_addr().unwrap(), json!([]));
+    config["name"] = "n1".into();
+    config["peer_listen"] = siblings.to_string().into();
+    config["peers"] = json!([siblings.to_string()]);
+    config["settings"]["limits"]["peers"] = true.into();
+    stage.daemon = Process::start(&config, stage.folder.path());
+    config["listen"] = stage.daemon.address.to_string().into();
+    let successor = Process::start(&config, stage.folder.path());
+    assert_eq!(successor.operate("health").await, "ok serving\n");
+    stage.daemon.child.kill().expect("killed");
+    stage.daemon.child.wait().expect("it ends");
+    let taken = std::net::UdpSocket::bind(siblings).expect_err("the successor holds it");
+    assert_eq!(taken.kind(), std::io::ErrorKind::AddrInUse);
+}
+
 /// A successor that breaks off leaves the old process as it was; one after another may come, also while drained.
 #[rstest]
 #[timeout(HANG)]
@@ -801,7 +824,8 @@
     assert_eq!(stage.readiness().await.status(), "503");
     second.operate("resume").await;
     let third = stage.successor();
-    drop(stage.daemon.operate("health").await);
+    // What the old process said would not be true any more.
+    assert_eq!(stage.daemon.operate("quiesce").await, "fail handed over; ask the successor\n");
     assert_eq!(third.operate("health").await, "ok serving\n");
     second.signal("-TERM");
     stage.daemon.signal("-TERM");
@@ -817,17 +841,59 @@
 #[tokio::test]
 async fn what_a_crash_left_behind_keeps_nobody_from_starting(#[case] leave: fn(&Path)) {
     let stage = Stage::set(0).await;
-    let folder = path("");
-    std::fs::create_dir(&folder).expect("a folder");
-    leave(&folder.join("vetchbridge.handover"));
+    let folder = tempfile::tempdir().expect("a folder");
+    let folder = folder.path();
+    leave(&folder.join(HANDOVER));
     let config = config(stage.discovery.local_addr().unwrap(), json!([]));
-    let first = Process::start(&config, &folder);
+    let first = Process::start(&config, folder);
     let mut next = config.clone();
     next["listen"] = first.address.to_string().into();
-    let next = Process::start(&next, &folder);
+    let next = Process::start(&next, folder);
     assert_eq!(next.operate("health").await, "ok serving\n");
 }
 
+/// Whoever comes to the hand-over socket and is no successor, or hangs as one, changes nothing.
+#[rstest]
+#[case::garbage(b"garbage".to_vec(), "Refused")]
+#[case::another_name(hello(VERSION, "n1"), "Refused")]
+#[case::another_version(hello(VERSION + 1, "n0"), "Refused")]
+#[case::one_that_hangs(hello(VERSION, "n0"), "Offer")]
+#[timeout(HANG)]
+#[tokio::test]
+async fn a_stranger_at_the_hand_over_is_survived(#[case] says: Vec<u8>, #[case] hears: &str) {
+    let stage = Stage::set(0).await;
+    let says = String::from_utf8(says).expect("text").replace("LISTEN", &stage.daemon.address.to_string());
+    let wire = upgrade::wire::Wire::dial(&stage.folder.path().join(HANDOVER)).expect("it listens");
+    wire.send(says.as_bytes(), &[]).await.expect("sent");
+    let mut buffer = vec![0; 65536];
+    let (length, _) = wire.receive(&mut buffer).await.expect("an answer").expect("it does not hang up first");
+    let heard = String::from_utf8_lossy(&buffer[..length]).into_owned();
+    assert!(heard.starts_with(&format!("{{\"{hears}\"")), "{heard}");
+    assert_eq!(stage.readiness().await.status(), "200");
+    assert_eq!(stage.successor().operate("health").await, "ok serving\n");
+}
+
+fn hello(version: u32, name: &str) -> Vec<u8> {
+    json!({"Hello": {"version": version, "name": name, "listen": "LISTEN"}}).to_string().into_bytes()
+}
+
+/// Where no Unix socket can be had a process starts all the same, and so does the next one beside it.
+#[rstest]
+#[timeout(HANG)]
+#[tokio::test]
+async fn without_a_hand_over_socket_two_processes_still_share_the_address() {
+    let mut stage = Stage::set(0).await;
+    let nowhere = stage.folder.path().join("not-there");
+    let mut config = config(stage.discovery.local_addr().unwrap(), json!([]));
+    let first = Process::start(&config, &nowhere);
+    config["listen"] = first.address.to_string().into();
+    let second = Process::start(&config, &nowhere);
+    assert_eq!(second.operate("health").await, "ok serving\n");
+    drop(first);
+    stage.daemon = second;
+    assert_eq!(stage.readiness().await.status(), "200");
+}
+
 /// What can't be finished before the end is answered all the same, and the peer is told to stop.
 #[rstest]
 #[timeout(HANG)]
