--- a/crates/vetchkit/src/cli.rs
+++ b/crates/vetchkit/src/cli.rs
@@ -295,7 +295,8 @@
     let mut text = format!("front       {}\n", stage.front.address());
     for (number, scheduler) in stage.schedulers.iter().enumerate() {
         let (address, log) = (scheduler.address(), scheduler.log().display());
-        text.push_str(&format!("scheduler {number} {address}  log {log}\n"));
+        let door = scheduler.admin().map(|address| format!("  operators {address}")).unwrap_or_default();
+        text.push_str(&format!("scheduler {number} {address}{door}  log {log}\n"));
     }
     for peer in &stage.peers {
         let (spec, addresses) = (peer.spec(), peer.addresses());
--- a/crates/vetchkit/src/scheduler.rs
+++ b/crates/vetchkit/src/scheduler.rs
@@ -192,6 +192,11 @@
         self.address
     }
 
+    /// Its operators' door, while it runs.
+    pub fn admin(&self) -> Option<SocketAddr> {
+        self.running.as_ref().map(|running| running.admin.address())
+    }
+
     /// Its log.
     pub fn log(&self) -> &Path {
         &self.log
