Keep a client connection whose successor died before it could follow

Seen on reading the change as a stranger: `succeeded` in `front.rs` waits for a successor, then for the connection to be between two requests. A successor that dies in between was forgotten: the connection was taken apart and passed to nobody, so that the client's next request could meet a close. A story shows it: a job in flight, a successor that comes and is killed, and the same connection asked again. It fails without the change ("an answer" that never came) and passes with it. The wait begins again now if there is no successor any more. Way not taken: to put the connection together again after it was taken apart, which would serve two states where one will do.

--- a/crates/vetchbridge/src/front.rs
+++ b/crates/vetchbridge/src/front.rs
@@ -167,8 +167,14 @@
         let mut closing = false;
         let served = loop {
             let succeeded = async {
-                drop(successor.wait_for(Option::is_some).await);
-                connection.rests().await;
+                loop {
+                    drop(successor.wait_for(Option::is_some).await);
+                    connection.rests().await;
+                    // It may have gone again while a request was in flight.
+                    if self.kin.has_successor() {
+                        return;
+                    }
+                }
             };
             tokio::select! {
                 served = Pin::new(&mut serving) => break served,
--- a/crates/vetchbridge/tests/node.rs
+++ b/crates/vetchbridge/tests/node.rs
@@ -781,6 +781,29 @@
     }
 }
 
+/// A request that was in flight when a successor came and went leaves its connection where it is.
+#[rstest]
+#[timeout(HANG)]
+#[tokio::test]
+async fn a_connection_outlives_a_successor_that_died_before_it_could_follow() {
+    let mut stage = Stage::set(1).await;
+    let (mut client, id) = stage.job("safe", "k").await;
+    let (number, mut peer) = stage.peer().await;
+    peer.read().await.expect("the job");
+    peer.send(ACCEPTED).await;
+    let mut successor = stage.successor();
+    assert_eq!(successor.operate("health").await, "ok serving\n");
+    // The old process has heard of it before this answer.
+    assert_eq!(stage.daemon.operate("quiesce").await, "fail handed over; ask the successor\n");
+    successor.child.kill().expect("killed");
+    stage.daemon.logs("upgrade.successor.gone").await;
+    stage.call_back(&id, number, "done").await;
+    let answer = client.read().await.expect("an answer");
+    assert_eq!((answer.status(), answer.header("connection")), ("200", None));
+    client.send("GET /health/ready HTTP/1.1\r\nhost: x\r\n\r\n").await;
+    assert_eq!(status(&client.read().await), "200", "the connection is still served");
+}
+
 /// The siblings' address goes over too: two processes can't both bind it, and it must not be free in between.
 #[rstest]
 #[timeout(HANG)]
