Open a watch anew at once where it alone fell silent; spread only what fails again

Cause: a silent watch is found 5.2 s after its call and its news counts as told at 6 s, but `ask_later` then paused half to one and a half times min(60 ms x (dispatchers - 1), 5 s), the pause meant for a herd, before it asked again: 2.5 to 7.5 s at 300.

Change: a watch that breaks after an answer came on it is one alone and is opened anew after 50 to 150 ms; only a call that fails with no answer since (or the first of a process) waits its turn among all. Leaving out the pause everywhere was not taken: 100 that start together would call together again.

Test: one_silent_watch_among_three_hundred_is_opened_anew_at_once, seen to fail before.

--- a/crates/silverproxy/src/policy.rs
+++ b/crates/silverproxy/src/policy.rs
@@ -69,7 +69,7 @@
 /// First pause before asking discovery again, microseconds; doubles up to the second figure.
 const ASK_AGAIN: (Micros, Micros) = (100_000, 1_000_000);
 /// All share one discovery, and calls given up still cost it: they are spread over this for each dispatcher,
-/// up to the second figure; after failures over more, up to the third, microseconds.
+/// up to the second figure; after calls that failed over more, up to the third, microseconds.
 const ASK_SPREAD: (Micros, Micros, Micros) = (60_000, 5_000_000, 10_000_000);
 const TIMER_REQUEST: u64 = 0;
 const TIMER_HOLD: u64 = 1;
@@ -328,10 +328,7 @@
         match kind {
             ListKind::Failed => self.ask_pending = false,
             ListKind::Saved => {}
-            ListKind::Changes | ListKind::Full => {
-                self.ask_pending = true;
-                self.asked = 0;
-            }
+            ListKind::Changes | ListKind::Full => (self.ask_pending, self.asked) = (true, 0),
         }
         if kind == ListKind::Full || kind == ListKind::Saved {
             let listed: std::collections::BTreeSet<WorkerId> = members.iter().map(|m| m.worker).collect();
@@ -422,8 +419,10 @@
     fn ask_later(&mut self, now: Micros, first: bool, actions: &mut Vec<Action>) {
         self.ask_pending = true;
         let spread = (ASK_SPREAD.0 * u64::from(self.settings.dispatchers - 1)).min(ASK_SPREAD.1);
-        let wait = (ASK_AGAIN.0 << self.asked.min(8)).min(ASK_AGAIN.1);
-        let wait = wait.max((spread << self.asked.min(8)).min(ASK_SPREAD.2));
+        // A watch that breaks after an answer came on it broke alone, until the call for the next one fails too.
+        let again = self.asked.saturating_sub(1).min(8);
+        let herd = if self.asked == 0 { 0 } else { (spread << again).min(ASK_SPREAD.2) };
+        let wait = (ASK_AGAIN.0 << again).min(ASK_AGAIN.1).max(herd);
         let random = self.random();
         let pause = if first { spread as f64 * random } else { wait as f64 * (0.5 + random) } as Micros;
         if pause == 0 {
@@ -431,7 +430,7 @@
         } else {
             actions.push(Action::SetTimer { at: now + pause, token: TimerToken(TIMER_ASK << 56) });
         }
-        self.asked += u32::from(!first);
+        self.asked += 1;
     }
 
     /// Up to [`REACH`] workers that may take this request, in ring order.
--- a/crates/silverproxy/tests/discovery.rs
+++ b/crates/silverproxy/tests/discovery.rs
@@ -72,3 +72,28 @@
         assert!(at.windows(2).all(|pair| pair[1] - pair[0] <= 17 * S), "{at:?}");
     }
 }
+
+/// What a silent watch missed counts as told at 6 s, and its silence shows at 5.2 s: the next call must not wait its turn as
+/// in a herd. Where that call fails too, it was no single watch, and the calls are spread as at the start.
+#[test]
+fn one_silent_watch_among_three_hundred_is_opened_anew_at_once() {
+    let pause = |d: &mut Driver| {
+        let done = d.event(list(ListKind::Failed, []));
+        let (at, token) = *timers(&done).last().expect("a pause before the next call");
+        let pause = at - d.now;
+        assert_eq!(asks(&d.at(at, Event::Timer(token))), 1);
+        pause
+    };
+    let mut spread = 0;
+    for me in 0..300 {
+        let (mut d, _) = start(me, 300);
+        d.event(fleet(9));
+        d.event(list(ListKind::Changes, []));
+        assert!(pause(&mut d) <= 150 * MS, "the watch of {me} was the only one");
+        spread += u32::from(pause(&mut d) > S);
+        // An answer again, silence again: alone once more.
+        d.event(list(ListKind::Changes, []));
+        assert!(pause(&mut d) <= 150 * MS);
+    }
+    assert!(spread >= 290, "only {spread} of 300 keep away from a discovery that is short of room");
+}
