Bound a scheduler's own load at a peer by its share where nothing tells how full it is

Cause: peers of that deployment tell neither start nor load unasked, and `busy` knew nothing but the bound learned from refusals; a peer that queues 7 to 15 jobs a core does not refuse before its queue is seconds long. Arcs and keys are never even, so a few drown.

Change: where no report, keeper or start speaks, a peer is busy when it has 1.25 of the share that it would have if all own jobs were spread by what the peers can do now. The bound learned from refusals stays below it.

--- a/crates/silverproxy/src/policy.rs
+++ b/crates/silverproxy/src/policy.rs
@@ -45,6 +45,8 @@
 const ROOM_STEP: f64 = 0.05;
 /// Pause before a request that found every candidate busy looks again, microseconds; it doubles with its age.
 const HOLD_BLIND: Micros = 200_000;
+/// Where nothing tells how full a worker is: how much of its share of all own slots out it may have.
+const OWN_SHARE: f64 = 1.25;
 /// A worker that refused is taken for full this long if nothing better is known, microseconds.
 const FULL_DEFAULT: Micros = 150_000;
 /// The same where its connections are used up: jobs have to end first, microseconds.
@@ -295,7 +297,7 @@
             Event::Members { kind, members } => self.on_members(now, kind, members, actions),
             Event::Request(request) => self.on_request(now, request, actions),
             Event::Outcome { request, attempt, worker, status, latency, closed, load: _ } => {
-                self.on_outcome(now, request, attempt, worker, (status, latency), closed, actions)
+                self.on_outcome(now, (request, attempt), worker, (status, latency), closed, actions)
             }
             Event::Note { request, attempt, note } => self.on_note(now, request, attempt, note),
             Event::StreamStarted { .. } | Event::Probed { .. } => {}
@@ -419,7 +421,7 @@
     fn ask_later(&mut self, now: Micros, first: bool, actions: &mut Vec<Action>) {
         self.ask_pending = true;
         let spread = (ASK_SPREAD.0 * u64::from(self.settings.dispatchers - 1)).min(ASK_SPREAD.1);
-        // A watch that breaks after an answer came on it broke alone, until the call for the next one fails too.
+        // A watch that breaks after it had an answer broke alone, until the call for the next one fails too.
         let again = self.asked.saturating_sub(1).min(8);
         let herd = if self.asked == 0 { 0 } else { (spread << again).min(ASK_SPREAD.2) };
         let wait = (ASK_AGAIN.0 << again).min(ASK_AGAIN.1).max(herd);
@@ -611,8 +613,18 @@
     fn has_room(&self, now: Micros, at: usize, slots: f64, place: usize) -> bool {
         let worker = &self.workers[at];
         let warmth = worker.warmth(now, &self.settings.rules);
+        let told = worker.tells_start || worker.held(now).is_some();
+        let fair = told || worker.own_slots() + slots <= (self.own_share(now, at) * OWN_SHARE).max(slots);
         let known = place == 0 || warmth >= 1.0 || worker.held(now).is_some();
-        known && !worker.busy(now, slots, self.room * (COLD_SLOTS + warmth).min(1.0))
+        known && fair && !worker.busy(now, slots, self.room * (COLD_SLOTS + warmth).min(1.0))
+    }
+
+    /// The slots that this worker would have out, if all own ones were spread by what the workers can do now.
+    fn own_share(&self, now: Micros, at: usize) -> f64 {
+        let able = |w: &Worker| w.units * w.warmth(now, &self.settings.rules);
+        let ready = self.workers.iter().filter(|w| w.ready).map(|w| (w.own_slots(), able(w)));
+        let (out, all) = ready.fold((1.0, 0.0), |sum, one| (sum.0 + one.0, sum.1 + one.1));
+        out * able(&self.workers[at]) / all
     }
 
     fn hold(&mut self, now: Micros, id: RequestId, actions: &mut Vec<Action>) {
@@ -804,10 +816,7 @@
     fn give_up(&mut self, now: Micros, id: RequestId, actions: &mut Vec<Action>) {
         let Some(open) = self.open.get(&id) else { return };
         let harmless = open.attempts.iter().all(|a| a.may_have_run == Some(false))
-            || match open.class.effect {
-                Effect::Safe | Effect::Keyed { group: RepeatGroup::All, .. } => true,
-                Effect::Keyed { .. } | Effect::Unsafe => false,
-            };
+            || matches!(open.class.effect, Effect::Safe | Effect::Keyed { group: RepeatGroup::All, .. });
         actions.push(if harmless {
             Action::Refuse { request: id, retry_after: self.advice(now, open.class.kind) }
         } else {
@@ -820,23 +829,17 @@
     fn close(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         let Some(open) = self.open.remove(&id) else { return };
         self.by_sequence.remove(&open.sequence);
-        if self.settings.limits.may_cancel {
-            for (number, attempt) in open.attempts.iter().enumerate() {
-                if attempt.may_have_run.is_none() {
-                    actions.push(Action::Cancel { request: id, attempt: AttemptNo(number as u32) });
-                }
-            }
-        }
+        let cancel = self.settings.limits.may_cancel;
+        let out = (0..).zip(&open.attempts).filter(|(_, a)| cancel && a.may_have_run.is_none());
+        actions.extend(out.map(|(number, _)| Action::Cancel { request: id, attempt: AttemptNo(number) }));
     }
 
     // ---- what comes back ----
 
-    #[allow(clippy::too_many_arguments)]
     fn on_outcome(
         &mut self,
         now: Micros,
-        id: RequestId,
-        attempt: AttemptNo,
+        (id, attempt): (RequestId, AttemptNo),
         worker: WorkerId,
         (status, latency): (Status, Micros),
         closed: bool,
@@ -987,17 +990,15 @@
 }
 
 fn new_worker(member: &Member, units: f64, tells_start: bool) -> Worker {
-    let (id, zone, kind, cell, born) = (member.worker, member.zone, member.kind, member.cell, member.born);
-    let ready = member.state == MemberState::Ready;
     Worker {
-        id,
-        zone,
-        kind,
-        cell,
-        ready,
+        id: member.worker,
+        zone: member.zone,
+        kind: member.kind,
+        cell: member.cell,
+        ready: member.state == MemberState::Ready,
         tells_start,
         units,
-        born,
+        born: member.born,
         bound: f64::INFINITY,
         ..Worker::default()
     }
