Answer a job whose late answer is worth nothing as soon as it can't be in time

Cause: attempts were sent without a time of their own (`timeout: None` in `send`), so a job held its slot or its place to the client's deadline of 5 s, though its class has no late share; and `place` held a late job for room in place of answering it.

Classes that keep a share of their worth, and jobs whose length isn't known, are served on as before.

Tests: a_job_whose_late_answer_is_worth_nothing_is_answered_once_it_is_late, a_held_job_is_answered_when_it_can_t_be_in_time_any_more.

--- a/crates/silverproxy/src/policy.rs
+++ b/crates/silverproxy/src/policy.rs
@@ -45,6 +45,10 @@
 const ROOM_STEP: f64 = 0.05;
 /// Pause before a request that found every candidate busy looks again, microseconds; it doubles with its age.
 const HOLD_BLIND: Micros = 200_000;
+/// Late answers with a smaller share of their worth are worth nothing: the peer is to work on others.
+const WORTHLESS: f64 = 0.01;
+/// A job may run for longer than hinted by this many times its hint before it is called off as late.
+const OVERRUN: f64 = 0.3;
 /// Where nothing tells how full a worker is: how much of its share of all own slots out it may have.
 const OWN_SHARE: f64 = 1.25;
 /// A worker that refused is taken for full this long if nothing better is known, microseconds.
@@ -124,13 +128,19 @@
 }
 
 impl Open {
+    /// From when on it can't be in time any more with so many times its hinted work still to do.
+    fn late_from(&self, rest: f64) -> Micros {
+        self.arrived + self.class.aim + ((self.class.stretch - rest).max(0.0) * self.work as f64) as Micros
+    }
+
+    /// Whether a late answer is worth nothing, and its work is known so far as that says when it is late.
+    fn all_or_nothing(&self) -> bool {
+        self.class.late_share < WORTHLESS && (self.work > 0 || self.class.stretch == 0.0)
+    }
+
     /// Its work as hinted; without a hint, its class is made for jobs of about its aim.
     fn likely_work(&self) -> Micros {
-        if self.work > 0 {
-            self.work
-        } else {
-            self.class.aim
-        }
+        Some(self.work).filter(|work| *work > 0).unwrap_or(self.class.aim)
     }
 }
 
@@ -334,9 +344,7 @@
         }
         if kind == ListKind::Full || kind == ListKind::Saved {
             let listed: std::collections::BTreeSet<WorkerId> = members.iter().map(|m| m.worker).collect();
-            for worker in &mut self.workers {
-                worker.ready &= listed.contains(&worker.id);
-            }
+            self.workers.iter_mut().for_each(|worker| worker.ready &= listed.contains(&worker.id));
         }
         let mut added = Vec::new();
         for member in members {
@@ -518,11 +526,9 @@
         self.next_sequence += 1;
         let slots = if request.slots.is_finite() && request.slots > 0.0 { request.slots } else { 1.0 };
         self.by_sequence.insert(sequence, request.id);
-        let (arrived, due) = (now, request.due);
-        let work = request.expected_work.unwrap_or(0);
         let most = self.settings.limits.max_attempts;
-        let sized = Open { most, slots, work, width, ..Open::default() };
-        self.open.insert(request.id, Open { class, key, arrived, due, sequence, ..sized });
+        let sized = Open { most, slots, work: request.expected_work.unwrap_or(0), width, ..Open::default() };
+        self.open.insert(request.id, Open { class, key, arrived: now, due: request.due, sequence, ..sized });
         let at = request.due.saturating_sub(self.guard()).max(now);
         actions.push(Action::SetTimer { at, token: TimerToken(TIMER_REQUEST << 56 | sequence) });
         self.place(now, request.id, actions);
@@ -556,8 +562,10 @@
         }
         let (slots, attempts, light) = (open.slots, open.attempts.len(), open.width == 1);
         // Past its aim a job waits for room, or queues would stay long and make all that follows late.
-        let aim = open.class.aim + ((open.class.stretch - 1.0).max(0.0) * open.work as f64) as Micros;
-        let late = now.saturating_sub(open.arrived) > aim;
+        let late = now > open.late_from(1.0);
+        if late && open.all_or_nothing() {
+            return self.give_up(now, id, actions);
+        }
         let waited = open.asking_until.is_some_and(|until| now >= until);
         let candidates = self.candidates(now, id);
         let mut asked = false;
@@ -630,10 +638,10 @@
     fn hold(&mut self, now: Micros, id: RequestId, actions: &mut Vec<Action>) {
         let jitter = 0.5 + self.random();
         let Some(open) = self.open.get_mut(&id) else { return };
-        open.holding = true;
-        open.asking_until = None;
+        (open.holding, open.asking_until) = (true, None);
         let pause = HOLD_BLIND.max(now.saturating_sub(open.arrived));
-        let at = now + (pause as f64 * jitter) as Micros;
+        let end = if open.all_or_nothing() { open.late_from(1.0) + 1 } else { Micros::MAX };
+        let at = end.min(now + (pause as f64 * jitter) as Micros);
         actions.push(Action::SetTimer { at, token: TimerToken(TIMER_HOLD << 56 | open.sequence) });
     }
 
@@ -767,9 +775,9 @@
         worker.out.push((id, open.attempts.len() as u32, now, open.slots));
         let crowd = worker.held(now).map(|held| held / worker.units.max(1e-6));
         open.attempts.push(Attempt { worker: worker.id, crowd, may_have_run: None, sent: now });
-        open.holding = false;
-        open.asking_until = None;
-        actions.push(Action::Send { request: id, worker: worker.id, timeout: None });
+        (open.holding, open.asking_until) = (false, None);
+        let timeout = open.all_or_nothing().then(|| open.late_from(-OVERRUN).saturating_sub(now).max(1));
+        actions.push(Action::Send { request: id, worker: worker.id, timeout });
         let (limits, slots) = (&self.settings.limits, open.slots);
         if worker.tells_start && limits.may_cancel && limits.second_copies {
             let token = TimerToken(TIMER_WATCH << 56 | open.sequence);
@@ -958,10 +966,8 @@
     fn on_timer(&mut self, now: Micros, token: TimerToken, actions: &mut Vec<Action>) {
         let (kind, sequence) = (token.0 >> 56, token.0 & ((1 << 56) - 1));
         if kind == TIMER_ASK {
-            if self.settings.discovery == Discovery::Ask {
-                actions.push(Action::Subscribe(true));
-            }
-            return;
+            let ask = self.settings.discovery == Discovery::Ask;
+            return actions.extend(ask.then_some(Action::Subscribe(true)));
         }
         let Some(&id) = self.by_sequence.get(&sequence) else { return };
         let Some(open) = self.open.get(&id) else { return };
@@ -975,15 +981,12 @@
                 }
                 self.place(now, id, actions);
             }
-        } else if open.attempts.iter().any(|a| a.may_have_run.is_none()) {
-            // The attempt's own time-out answers at the due time; this only guards against its absence.
+        } else {
+            // An attempt's own time-out answers at the due time; this only guards against its absence.
             let last = open.due + self.settings.rules.answer_slack / 2;
-            if now >= last {
-                self.give_up(now, id, actions);
-            } else {
-                actions.push(Action::SetTimer { at: last, token });
+            if now < last && open.attempts.iter().any(|a| a.may_have_run.is_none()) {
+                return actions.push(Action::SetTimer { at: last, token });
             }
-        } else {
             self.give_up(now, id, actions);
         }
     }
--- a/crates/silverproxy/tests/load.rs
+++ b/crates/silverproxy/tests/load.rs
@@ -30,3 +30,57 @@
     let most = popular.values().max();
     assert!(most >= Some(&15), "the popular key has no home: {popular:?}");
 }
+
+/// Where a late answer has no worth, work on it takes the peer's time from jobs that can still be in time; under a burst all
+/// are late then. An attempt waits no longer than the aim, and what can't be in time is answered at once.
+#[test]
+fn a_job_whose_late_answer_is_worth_nothing_is_answered_once_it_is_late() {
+    // Effect, share of the worth that a late answer keeps, hint; how long an attempt may wait, and whether trying again is harmless.
+    let (never, all) = (Effect::Unsafe, Effect::Safe);
+    for (effect, late_share, hint, wait, harmless) in [
+        (all, 0.0, Some(300 * MS), Some(500 * MS + 690 * MS), true),
+        (never, 0.0, Some(300 * MS), Some(500 * MS + 690 * MS), false),
+        (all, 0.0, None, None, true),
+        (all, 0.3, Some(300 * MS), None, true),
+    ] {
+        let classes = vec![Class { late_share, ..class(effect) }];
+        let mut d = Driver::with_fleet(Settings { classes, ..settings() }, 6);
+        let job = Request { expected_work: hint, ..request(1, 0, "k", d.now + 5 * S) };
+        let done = d.event(Event::Request(job));
+        let timeout = |a: &Action| if let Action::Send { timeout, .. } = a { Some(*timeout) } else { None };
+        assert_eq!(done.iter().find_map(timeout), Some(wait), "{effect:?}, {late_share}, {hint:?}");
+        let Some(wait) = wait else { continue };
+        d.now += wait;
+        let done = d.event(outcome(1, 0, sent(&done), Status::Timeout));
+        assert!(
+            sends(&done).is_empty() && refused(&done) == harmless && failed(&done) != harmless,
+            "{done:?}"
+        );
+    }
+}
+
+/// The same while it waits here for room: it is answered when it can't be in time even on an idle peer, with advice.
+#[test]
+fn a_held_job_is_answered_when_it_can_t_be_in_time_any_more() {
+    let classes = vec![Class { late_share: 0.0, ..class(Effect::Safe) }];
+    let mut d = Driver::new(Settings { classes, ..settings() });
+    let started = d.now;
+    let mut due = timers(&d.event(Event::Request(Request {
+        expected_work: Some(300 * MS),
+        ..request(1, 0, "k", started + 5 * S)
+    })));
+    loop {
+        due.sort();
+        let (at, token) = due.remove(0);
+        let done = d.at(at, Event::Timer(token));
+        if refused(&done) {
+            break;
+        }
+        due.extend(timers(&done));
+    }
+    let waited = d.now - started;
+    assert!(
+        (800 * MS..=810 * MS).contains(&waited),
+        "answered after {waited} us, aim and stretch leave 800 ms"
+    );
+}
