Give the module each job's tenant by name, and only numbers of slots that make sense

Every job was entered under tenant 0, whatever X-Customer said, and X-Props could bring any float as slots: NaN, infinity or a negative number went to the module as it stood.

X-Customer is compared byte by byte with the names in the settings, so a name beyond ASCII is known too. A job that names no tenant, an unknown one, or two of them is entered under a last one, without a share. X-Props is read for slots, or width as the wire names it, above 0 and finite, otherwise 1. X-Size-Hint, X-Second-Try and X-Expires-In (m and u) were held against the protocol and stand.

--- a/crates/vetchbridge/src/front.rs
+++ b/crates/vetchbridge/src/front.rs
@@ -25,7 +25,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use silverproxy::interface::{ClassId, Effect, Micros, Request, TenantId};
+use silverproxy::interface::{ClassId, Effect, Micros, Request};
 use std::convert::Infallible;
 use std::os::fd::OwnedFd;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -356,12 +356,17 @@
             Some(value) => Some(parse_number(value).ok_or("x-size-hint: unreadable")?),
             None => None,
         };
+        // A tenant is for worth alone: one that is in doubt costs the job its tenant's share, never its answer.
+        let mut customers = parts.headers.get_all("x-customer").iter();
+        let customer = customers.next().filter(|_| customers.next().is_none()).map(HeaderValue::as_bytes);
         let props = text("x-props")?.unwrap_or("");
-        let slots = props.split(',').find_map(|prop| prop.trim().strip_prefix("slots=")?.parse().ok());
+        let named = |name: &str| matches!(name.trim(), "slots" | "width");
+        let mut slots = props.split(',').filter_map(|prop| prop.split_once('=')).filter(|prop| named(prop.0));
+        let slots = slots.find_map(|(_, value)| parse_number(value.trim()).filter(|slots| *slots > 0.0));
         let request = Request {
             id,
             class: ClassId(number),
-            tenant: TenantId(0),
+            tenant: settings.tenant(customer),
             key: key.map(str::to_string),
             // No client of a class waits longer than this, whatever it says.
             due: self.engine.clock.now().saturating_add(wait.min(class.deadline)),
@@ -399,3 +404,98 @@
     };
     Some((parse_number(number)? * scale) as Micros)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::config::read_text;
+    use silverproxy::policy::Policy;
+
+    /// Two tenants, one class; nothing of it ever touches a socket.
+    fn front(accounts: &str) -> Arc<Front> {
+        let text = format!(
+            r#"{{"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "1",
+            "settings": {{"me": 0, "balancers": 1, "areas": ["a"], "kinds": ["m"], "zone": 0, "discovery": "ask",
+            "accounts": {accounts}, "limits": {{"max_attempts": 2}},
+            "services": [{{"name": "safe", "repeat": "safe", "aim": 1000, "deadline": 9000000}}],
+            "rules": {{"stop_sending_within": 1, "start_capacity": 0.2, "cold": 1, "tip_multiple": 2.5, "fall": 1}}}}}}"#
+        );
+        let snapshot = read_text("test", &text).expect("it reads").config.snapshot;
+        let policy = Policy::new(snapshot.settings.clone(), 1).expect("sound settings");
+        let upstream = Arc::new(UpstreamGroup::new(Duration::ZERO, Duration::ZERO, 1));
+        let engine = Engine::new(policy, upstream.clone(), unbounded_channel().0, unbounded_channel().0);
+        let (life, kin) = (Arc::new(Life::begin(false)), Arc::new(Kin::default()));
+        Front::new(engine, upstream, Arc::new(Current::new(snapshot)), 64, 1 << 20, life, kin)
+    }
+
+    fn job(front: &Front, headers: &[(&str, &[u8])]) -> Result<Job, String> {
+        let mut request = hyper::Request::post("/safe/k").body(()).expect("a request");
+        request.headers_mut().insert("x-trace-id", HeaderValue::from_static("00000000000000ab"));
+        for (name, value) in headers {
+            let name: hyper::header::HeaderName = name.parse().expect("a name");
+            request.headers_mut().append(name, HeaderValue::from_bytes(value).expect("a value"));
+        }
+        let room = front.job_room.clone().try_acquire_owned().expect("room");
+        front.job(&request.into_parts().0, Bytes::new(), room)
+    }
+
+    /// Who names no tenant that the settings know is served all the same, and uses up nobody's share.
+    #[test]
+    fn a_tenant_is_known_by_its_name_and_a_stranger_has_no_share() {
+        let named =
+            front(r#"[{"name": "acme", "allowance_per_s": 5}, {"name": "caf\u00e9", "allowance_per_s": 3}]"#);
+        let tenants = named.current.get().settings.tenants.clone();
+        assert_eq!(tenants.iter().map(|t| t.allowance_per_s).collect::<Vec<_>>(), [5.0, 3.0, 0.0]);
+        let cases: [(&[&[u8]], u32); 7] = [
+            (&[b"acme"], 0),
+            (&["caf\u{e9}".as_bytes()], 1),
+            (&[b"Acme"], 2),
+            (&[b""], 2),
+            (&[b"\xff"], 2),
+            (&[], 2),
+            (&[b"acme", b"caf\xc3\xa9"], 2),
+        ];
+        for (names, tenant) in cases {
+            let headers: Vec<(&str, &[u8])> = names.iter().map(|name| ("x-customer", *name)).collect();
+            let request = job(&named, &headers).expect("a job").request;
+            assert_eq!(request.tenant.0, tenant, "{names:?}");
+        }
+        let without = front("[]");
+        assert_eq!(job(&without, &[("x-customer", b"acme")]).expect("a job").request.tenant.0, 0);
+        assert!(without.current.get().settings.tenants.is_empty());
+    }
+
+    #[test]
+    fn the_headers_of_a_job_reach_the_module() {
+        let front = front("[]");
+        let request =
+            |name: &str, value: &str| job(&front, &[(name, value.as_bytes())]).map(|job| job.request);
+        let hint = |value| request("x-size-hint", value).map(|request| request.expected_work);
+        assert_eq!((hint("12000"), hint("12000.7")), (Ok(Some(12_000)), Ok(Some(12_000))));
+        assert!(hint("-1").is_err() && hint("nan").is_err());
+        assert_eq!(request("host", "x").map(|request| request.expected_work), Ok(None));
+        for (value, retry) in [("1", true), ("0", false)] {
+            assert_eq!(request("x-second-try", value).map(|request| request.retry), Ok(retry));
+        }
+        for (value, slots) in [
+            ("slots=2", 2.0),
+            ("memory=3, slots = 0.5", 0.5),
+            ("width=4", 4.0),
+            ("slots=nan,slots=3", 3.0),
+            ("slots=0", 1.0),
+            ("slots=-2", 1.0),
+            ("slots=inf", 1.0),
+            ("slots,=,", 1.0),
+            ("", 1.0),
+        ] {
+            assert_eq!(request("x-props", value).map(|request| request.slots), Ok(slots), "{value}");
+        }
+        for (value, wait) in [("480m", 480_000), ("1.5m", 1500), ("480000u", 480_000), ("99999m", 9_000_000)]
+        {
+            let before = front.engine.clock.now();
+            let due = request("x-expires-in", value).expect("a job").due;
+            assert!((before + wait..=front.engine.clock.now() + wait).contains(&due), "{value}");
+        }
+        assert!(request("x-expires-in", "480").is_err() && request("x-expires-in", "480s").is_err());
+    }
+}
