Send a job on to the least loaded peer where nothing tells of load, in place of holding it

Cause: in `place` only a first attempt goes to the least loaded candidate when all are busy; a further one is held and finds the same bound again at each look, for as long as the other job runs.

Change: where nothing tells of load the least loaded candidate takes a further attempt too. Where load is told a refused job waits here as before.

Test: a_broken_job_goes_on_at_once_to_the_only_peer_that_is_left.

--- a/crates/silverproxy/src/policy.rs
+++ b/crates/silverproxy/src/policy.rs
@@ -506,8 +506,7 @@
             found[..width].rotate_left(start);
         }
         found.truncate(REACH);
-        reserve.truncate(RESERVE);
-        found.extend(reserve);
+        found.extend(reserve.into_iter().take(RESERVE));
         found
     }
 
@@ -583,8 +582,7 @@
             }
             let bold = light || self.random() < self.settings.rules.cold_share;
             if self.has_room(now, at, slots, place + usize::from(!bold)) {
-                let blind = self.workers[at].held(now).is_none();
-                if attempts > 0 && blind {
+                if attempts > 0 && self.workers[at].held(now).is_none() {
                     if self.budget < 1.0 {
                         break;
                     }
@@ -602,7 +600,7 @@
             }
             return;
         }
-        // The least loaded takes the job into its queue. Once a worker has refused it, it waits here: walking
+        // The least loaded takes it in its queue; where load is told, a refused one waits here: walking
         // on carries the key's data to strangers. A cold worker takes none: queues there grow, and topple it.
         let open_to = |w: &Worker| {
             let short = w.held(now).is_none_or(|held| held + slots <= QUEUE * self.room * w.units);
@@ -611,7 +609,9 @@
         let choices = candidates.iter().copied().filter(|at| open_to(&self.workers[*at]));
         let best = choices.min_by(|a, b| self.workers[*a].load(now).total_cmp(&self.workers[*b].load(now)));
         match best {
-            Some(at) if attempts == 0 && !late => self.send(now, id, at, actions),
+            Some(at) if !late && (attempts == 0 || self.own_bound(now, at).is_some()) => {
+                self.send(now, id, at, actions)
+            }
             _ => self.hold(now, id, actions),
         }
     }
@@ -621,18 +621,19 @@
     fn has_room(&self, now: Micros, at: usize, slots: f64, place: usize) -> bool {
         let worker = &self.workers[at];
         let warmth = worker.warmth(now, &self.settings.rules);
-        let told = worker.tells_start || worker.held(now).is_some();
-        let fair = told || worker.own_slots() + slots <= (self.own_share(now, at) * OWN_SHARE).max(slots);
+        let fair = self.own_bound(now, at).is_none_or(|bound| worker.own_slots() + slots <= bound.max(slots));
         let known = place == 0 || warmth >= 1.0 || worker.held(now).is_some();
         known && fair && !worker.busy(now, slots, self.room * (COLD_SLOTS + warmth).min(1.0))
     }
 
-    /// The slots that this worker would have out, if all own ones were spread by what the workers can do now.
-    fn own_share(&self, now: Micros, at: usize) -> f64 {
+    /// Own slots out at which a worker is busy where nothing tells how full it is: by its share of all own ones,
+    /// were they spread by what the workers can do now.
+    fn own_bound(&self, now: Micros, at: usize) -> Option<f64> {
         let able = |w: &Worker| w.units * w.warmth(now, &self.settings.rules);
         let ready = self.workers.iter().filter(|w| w.ready).map(|w| (w.own_slots(), able(w)));
         let (out, all) = ready.fold((1.0, 0.0), |sum, one| (sum.0 + one.0, sum.1 + one.1));
-        out * able(&self.workers[at]) / all
+        let told = self.workers[at].tells_start || self.workers[at].held(now).is_some();
+        (!told).then(|| OWN_SHARE * out * able(&self.workers[at]) / all)
     }
 
     fn hold(&mut self, now: Micros, id: RequestId, actions: &mut Vec<Action>) {
@@ -756,9 +757,8 @@
                 self.pour(now, at, work);
             }
             Word::Ended { served, broke } => {
-                if let Some(place) = worker.kept.iter().position(|k| k.0 == from) {
-                    worker.kept.remove(place);
-                }
+                let place = worker.kept.iter().position(|k| k.0 == from);
+                place.map(|place| worker.kept.remove(place));
                 if served {
                     worker.failures = 0;
                 }
@@ -969,8 +969,8 @@
             let ask = self.settings.discovery == Discovery::Ask;
             return actions.extend(ask.then_some(Action::Subscribe(true)));
         }
-        let Some(&id) = self.by_sequence.get(&sequence) else { return };
-        let Some(open) = self.open.get(&id) else { return };
+        let found = self.by_sequence.get(&sequence).and_then(|id| self.open.get_key_value(id));
+        let Some((&id, open)) = found else { return };
         if kind == TIMER_WATCH {
             self.look_after(now, id, actions);
         } else if kind == TIMER_HOLD {
--- a/crates/silverproxy/tests/load.rs
+++ b/crates/silverproxy/tests/load.rs
@@ -84,3 +84,13 @@
         "answered after {waited} us, aim and stretch leave 800 ms"
     );
 }
+
+/// Two peers, each with a job of ours: that is no reason to let a job wait that broke off at one of them.
+#[test]
+fn a_broken_job_goes_on_at_once_to_the_only_peer_that_is_left() {
+    let mut d = Driver::with_fleet(Settings { report_via: ReportVia::Never, ..settings() }, 2);
+    let first = sent(&d.request(1, SAFE, "k"));
+    let second = sent(&d.request(2, SAFE, "k"));
+    assert_ne!(first, second, "own load is spread");
+    assert_eq!(sent(&d.event(outcome(2, 0, second, Status::Reset))), first);
+}
