Give clients the descriptors that the peers leave, and newcomers time to speak

`Front::new` kept half of the limit for peers, discovery and the program, of which 46 were used; jobs that wait for their answer filled the other half, and `ClientConnections::place` then refused whoever came, or ended newcomers one for another (`spare`, rank 4). A connection chosen to make room was dropped even if its request had been read meanwhile (the `select!` in `client_connection`).

Design: connections to peers are counted from the dial on (`Count`, in the dialler); clients have what the limit leaves after 24 descriptors for the program, the operators' places, that count and an eighth for dials to come, a quarter in any case; while a second process is there, its 24 come off as well. Nobody younger than 10 ms makes room: until then newcomers wait with the kernel (`relief`). A connection that is chosen stays in the table until its task has ended; a request that crosses the choice is answered, and that answer closes it. One that brought a callback last goes after clients that only stay.

Ways not taken: reading /proc/self/fd, which tells what is held but not what will be; leaving newcomers in the queue while every place owes an answer, since the callbacks that end those jobs come by the same listener.

Result: a story (68 jobs waiting beside 68 that stay and 5 half-way, 128 descriptors) that the old rule fails with a refused connection; unit tests for the budget, a burst and the crossing.

--- a/crates/vetchbridge/src/config/file.rs
+++ b/crates/vetchbridge/src/config/file.rs
@@ -101,7 +101,7 @@
 #[derive(Clone, Debug, Deserialize, Serialize, JsonSchema)]
 #[serde(deny_unknown_fields, default)]
 pub struct Limits {
-    /// Descriptors; half of them, at most, are client connections.
+    /// Descriptors; client connections have what the program and the peers leave.
     #[schemars(range(min = 16))]
     pub sockets: u64,
     /// Memory; an eighth of it, at most, holds the bodies of jobs, and another those of callbacks.
--- a/crates/vetchbridge/src/connections.rs
+++ b/crates/vetchbridge/src/connections.rs
@@ -1,12 +1,14 @@
 //! Client connections: the accepted sockets, those of the peers' callbacks included.
 //!
-//! Owns the budget of descriptors for them, the time that a request may take to arrive, and a watch on how
-//! requests are framed, of which hyper leaves no trace. It knows what each connection is doing, not what its
-//! requests say. It must never end a connection that owes an answer or brings a callback to make room.
+//! Owns the budget of descriptors for them (what the limit leaves beside the program and the peers), the time that a
+//! request may take to arrive, and a watch on how requests are framed, of which hyper leaves no trace. It knows what
+//! each connection is doing, not what its requests say. It must never end a connection that owes an answer or brings a
+//! callback to make room, nor one that has just been made.
 
 use std::collections::BTreeMap;
 use std::io;
 use std::pin::Pin;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll};
 use std::time::Duration;
@@ -22,6 +24,15 @@
 const LEAVING: Duration = Duration::from_secs(10);
 /// A connection younger than this may have its first bytes on the way.
 const YOUNG: Duration = Duration::from_millis(250);
+/// A connection younger than this makes room for nobody: it has not had the time to send anything.
+const FRESH: Duration = Duration::from_millis(10);
+/// Descriptors that a process needs for itself: standard streams, runtime, listeners, signals, siblings, discovery and
+/// a hand-over. One at rest holds 14.
+pub const PROGRAM: usize = 24;
+/// This share of the limit is left free for connections to peers that are still to be made.
+const SPARE: usize = 8;
+/// Clients have this share of the limit whatever the peers hold.
+const AT_LEAST: usize = 4;
 /// The longest head; also hyper's read buffer, which bounds the memory that a connection takes.
 pub const HEAD_LIMIT: usize = 8 * 1024;
 /// The most header lines, as hyper has it.
@@ -130,6 +141,8 @@
     /// Since when it is in this stage; a request's time counts from its connection's first moment.
     since: Instant,
     answered: u32,
+    /// What it was doing when it was chosen to make room, if it was.
+    chosen: Option<Stage>,
     watch: Watch,
 }
 
@@ -146,13 +159,24 @@
 
 impl ClientConnection {
     fn new() -> ClientConnection {
-        let state = State { stage: Stage::Silent, since: Instant::now(), answered: 0, watch: Watch::new() };
+        let (stage, since, watch) = (Stage::Silent, Instant::now(), Watch::new());
+        let state = State { stage, since, answered: 0, chosen: None, watch };
         ClientConnection { state: Mutex::new(state), ended: Notify::new(), rests: Notify::new() }
     }
 
-    /// Resolves when the connection must end now.
+    /// Resolves when the connection must end now. One whose request came whole after it was chosen to make room
+    /// ends with its answer.
     pub async fn ended(&self) {
-        self.ended.notified().await;
+        loop {
+            self.ended.notified().await;
+            let (overdue, state) = (self.overdue(Instant::now()), lock(&self.state));
+            match state.stage {
+                Stage::Silent | Stage::Idle => return,
+                Stage::Arriving if overdue || state.chosen == Some(Stage::Arriving) => return,
+                Stage::Answering if overdue => return,
+                Stage::Arriving | Stage::Owing | Stage::Answering => {}
+            }
+        }
     }
 
     /// Resolves while the connection is between requests, not one byte of the next having been read.
@@ -176,9 +200,21 @@
         lock(&self.state).watch.ambiguous
     }
 
-    /// Whether its next request could not be watched: the answer in hand is its last.
+    /// Whether the answer in hand is its last: its next request could not be watched, or it makes room.
     pub fn last(&self) -> bool {
-        lock(&self.state).watch.framing == Framing::Unwatched
+        let state = lock(&self.state);
+        state.watch.framing == Framing::Unwatched || state.chosen.is_some()
+    }
+
+    fn stays(&self) -> bool {
+        lock(&self.state).chosen.is_none()
+    }
+
+    /// It is to make room.
+    fn choose(&self) {
+        let state = &mut *lock(&self.state);
+        state.chosen = Some(state.stage);
+        self.ended.notify_one();
     }
 
     /// Another process has answered on it already.
@@ -221,6 +257,9 @@
             state.stage = if state.watch.between_requests() { Stage::Idle } else { Stage::Arriving };
             state.since = Instant::now();
             self.rests.notify_waiters();
+            if state.chosen.is_some() {
+                self.ended.notify_one();
+            }
         }
     }
 
@@ -239,32 +278,97 @@
         state.stage == Stage::Owing || state.stage == Stage::Answering && now < state.since + YOUNG
     }
 
+    /// Until when it is too young to go, if it is.
+    fn fresh(&self, now: Instant) -> Option<Instant> {
+        let state = lock(&self.state);
+        Some(state.since + FRESH).filter(|until| state.stage == Stage::Silent && now < *until)
+    }
+
     /// Its place among those that may go to make room, the first to go lowest; `None`: it stays.
     fn spare(&self, now: Instant) -> Option<(u32, Instant)> {
         let state = lock(&self.state);
-        let young = now < state.since + YOUNG;
+        let older_than = |age| now >= state.since + age;
         let rank = match state.stage {
-            Stage::Silent if !young => 0,
-            Stage::Arriving if !young && !state.watch.callback => 1,
+            _ if state.chosen.is_some() => return None,
+            Stage::Silent if older_than(YOUNG) => 0,
+            Stage::Arriving if older_than(YOUNG) && !state.watch.callback => 1,
+            // A peer's next callback is worth more than a client that can connect again.
+            Stage::Idle if state.watch.callback => 4,
             // One that has asked again and again is a better guest than one that asked once and stayed.
             Stage::Idle if state.answered <= 1 => 2,
             Stage::Idle => 3,
-            Stage::Silent => 4,
-            Stage::Arriving | Stage::Owing | Stage::Answering => return None,
+            Stage::Silent if older_than(FRESH) => NEWCOMER,
+            Stage::Silent | Stage::Arriving | Stage::Owing | Stage::Answering => return None,
         };
         Some((rank, state.since))
     }
 }
 
+/// The last to make room, and only for another newcomer.
+const NEWCOMER: u32 = 5;
+
+/// What other processes of this scheduler hold of the same budget.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Elsewhere {
+    /// How many there are.
+    pub processes: usize,
+    /// Their client connections.
+    pub connections: usize,
+}
+
+/// How many of a kind there are.
+#[derive(Clone, Default)]
+pub struct Count(Arc<AtomicUsize>);
+
+/// One of those that a [`Count`] counts, until it is dropped.
+pub struct Counted(Arc<AtomicUsize>);
+
+impl Count {
+    /// One more.
+    pub fn one(&self) -> Counted {
+        self.0.fetch_add(1, Ordering::Relaxed);
+        Counted(self.0.clone())
+    }
+
+    /// How many there are.
+    pub fn get(&self) -> usize {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 #[derive(Default)]
 struct Table {
     open: BTreeMap<u64, Arc<ClientConnection>>,
     next: u64,
 }
 
+impl Table {
+    fn staying(&self) -> usize {
+        self.open.values().filter(|c| c.stays()).count()
+    }
+
+    /// Sends away the connection that can best be spared, of those that rank no higher; false if there is none.
+    fn make_room(&self, highest: u32, now: Instant) -> bool {
+        let spare = self.open.values().filter_map(|c| Some((c.spare(now)?, c)));
+        let first = spare.filter(|((rank, _), _)| *rank <= highest).min_by_key(|(place, _)| *place);
+        first.iter().for_each(|(_, connection)| connection.choose());
+        first.is_some()
+    }
+}
+
 /// See the head of this file.
 pub struct ClientConnections {
-    budget: usize,
+    /// The most descriptors that the process may hold, and how many are set aside.
+    limit: usize,
+    aside: usize,
+    /// Connections to peers.
+    peers: Count,
     table: Mutex<Table>,
 }
 
@@ -283,9 +387,10 @@
 }
 
 impl ClientConnections {
-    /// Room for this many connections.
-    pub fn new(budget: usize) -> ClientConnections {
-        ClientConnections { budget, table: Mutex::default() }
+    /// Connections of a process that may hold `limit` descriptors, of which so many are set `aside` beside
+    /// [`PROGRAM`]; the connections to `peers` share the rest with them.
+    pub fn new(limit: usize, aside: usize, peers: Count) -> ClientConnections {
+        ClientConnections { limit, aside, peers, table: Mutex::default() }
     }
 
     /// How many there are.
@@ -293,15 +398,27 @@
         lock(&self.table).open.len()
     }
 
-    /// A place for a new connection, if need be that of one that can be spared; `None` if there is none. So many
-    /// places are taken `elsewhere`.
-    pub fn place(&self, elsewhere: usize) -> Option<Place<'_>> {
+    /// How many there may be here.
+    fn budget(&self, elsewhere: Elsewhere) -> usize {
+        let taken = self.aside + PROGRAM * (1 + elsewhere.processes) + self.peers.get() + self.limit / SPARE;
+        let clients = self.limit.saturating_sub(taken).max(self.limit / AT_LEAST);
+        clients.saturating_sub(elsewhere.connections)
+    }
+
+    /// When a new connection can have the place of one that is too young to go now, if there is no other place.
+    pub fn relief(&self, elsewhere: Elsewhere) -> Option<Instant> {
+        let (now, table) = (Instant::now(), lock(&self.table));
+        let room =
+            table.staying() < self.budget(elsewhere) || table.open.values().any(|c| c.spare(now).is_some());
+        let fresh = table.open.values().filter_map(|c| c.fresh(now)).min();
+        fresh.filter(|_| !room)
+    }
+
+    /// A place for a new connection, if need be that of one that can be spared; `None` if there is none.
+    pub fn place(&self, elsewhere: Elsewhere) -> Option<Place<'_>> {
         let table = &mut *lock(&self.table);
-        if table.open.len() + elsewhere >= self.budget {
-            let now = Instant::now();
-            let spare = table.open.iter().filter_map(|(number, c)| Some((c.spare(now)?, *number)));
-            let (_, number) = spare.min()?;
-            table.open.remove(&number)?.ended.notify_one();
+        if table.staying() >= self.budget(elsewhere) && !table.make_room(NEWCOMER, Instant::now()) {
+            return None;
         }
         table.next += 1;
         let (number, connection) = (table.next, Arc::new(ClientConnection::new()));
@@ -315,10 +432,12 @@
         lock(&self.table).open.values().any(|c| c.owes(now))
     }
 
-    /// Ends the connections that have used up their time.
-    pub fn sweep(&self) {
-        let now = Instant::now();
-        lock(&self.table).open.values().filter(|c| c.overdue(now)).for_each(|c| c.ended.notify_one());
+    /// Ends the connections that have used up their time, and those that the peers' connections need the room of.
+    pub fn sweep(&self, elsewhere: Elsewhere) {
+        let (now, table) = (Instant::now(), lock(&self.table));
+        table.open.values().filter(|c| c.overdue(now)).for_each(|c| c.ended.notify_one());
+        let over = table.staying().saturating_sub(self.budget(elsewhere));
+        _ = (0..over).all(|_| table.make_room(NEWCOMER - 1, now));
     }
 }
 
@@ -426,8 +545,8 @@
     /// Room is made by who has said nothing, then by who stopped half-way, then by who only stays.
     #[tokio::test(start_paused = true)]
     async fn the_silent_go_first_and_who_is_owed_an_answer_never() {
-        let connections = ClientConnections::new(6);
-        let places: Vec<Place<'_>> = (0..6).filter_map(|_| connections.place(0)).collect();
+        let connections = of_six();
+        let places: Vec<Place<'_>> = (0..6).filter_map(|_| connections.place(ALONE)).collect();
         let [owed, callback, kept, once, half, silent] = &places[..] else { panic!("six places") };
         owed.connection.owe();
         callback.connection.seen(b"POST /callback HTTP/1.1\r\n");
@@ -442,13 +561,72 @@
         tokio::time::advance(YOUNG).await;
         let mut newcomers = Vec::new();
         for leaves in [silent, half, once, kept] {
-            newcomers.push(connections.place(0).expect("room"));
+            newcomers.push(connections.place(ALONE).expect("room"));
             newcomers.last().unwrap().connection.owe();
             // A permit is there at once for the one that was chosen, and for no other.
             leaves.connection.ended().await;
         }
-        assert!(connections.place(0).is_none(), "nobody may be sent away for another");
+        assert!(connections.place(ALONE).is_none(), "nobody may be sent away for another");
         drop(newcomers.pop());
-        assert!(connections.place(0).is_some(), "a place is given back");
+        assert!(connections.place(ALONE).is_some(), "a place is given back");
+    }
+
+    /// Clients have what the program and the peers leave, not a fixed half; what the peers come to need is given up.
+    #[tokio::test(start_paused = true)]
+    async fn clients_have_what_the_peers_leave_and_make_room_for_them() {
+        let peers = Count::default();
+        let connections = ClientConnections::new(384, 16, peers.clone());
+        let held: Vec<Counted> = (0..46).map(|_| peers.one()).collect();
+        let crowd: Vec<Place<'_>> = (0..400).map_while(|_| connections.place(ALONE)).collect();
+        assert_eq!(crowd.len(), 384 - 16 - PROGRAM - 46 - 48);
+        for place in &crowd {
+            place.connection.keep();
+        }
+        assert!(connections.place(ALONE).is_some(), "they can be spared");
+        let more: Vec<Counted> = (0..100).map(|_| peers.one()).collect();
+        connections.sweep(ALONE);
+        assert_eq!(lock(&connections.table).staying(), crowd.len() - 100);
+        drop((held, more));
+        let budget = |processes| connections.budget(Elsewhere { processes, connections: 100 });
+        assert_eq!(budget(0) - budget(1), PROGRAM);
+    }
+
+    /// In a burst, one newcomer does not take the place of another that has not had the time to speak.
+    #[tokio::test(start_paused = true)]
+    async fn a_connection_just_made_is_left_the_time_to_send_its_request() {
+        let connections = of_six();
+        let places: Vec<Place<'_>> = (0..6).filter_map(|_| connections.place(ALONE)).collect();
+        assert!(connections.place(ALONE).is_none());
+        let relief = connections.relief(ALONE).expect("they grow older");
+        tokio::time::advance(relief - Instant::now()).await;
+        assert_eq!(connections.relief(ALONE), None);
+        places[0].connection.seen(b"POST /a");
+        let _newcomer = connections.place(ALONE).expect("one that still says nothing makes room");
+        places[1].connection.ended().await;
+    }
+
+    /// A client's next request may cross the choice of its connection to make room: it is answered, and no other.
+    #[tokio::test(start_paused = true)]
+    async fn a_request_that_crosses_the_choice_is_answered_first() {
+        let connections = of_six();
+        let places: Vec<Place<'_>> = (0..6).filter_map(|_| connections.place(ALONE)).collect();
+        places[0].connection.keep();
+        let _newcomer = connections.place(ALONE).expect("the idle one makes room");
+        let chosen = &places[0].connection;
+        chosen.seen(b"POST /a HTTP/1.1\r\n\r\n");
+        chosen.owe();
+        let ended = chosen.ended();
+        tokio::pin!(ended);
+        assert!(futures_util::poll!(ended.as_mut()).is_pending() && chosen.last());
+        chosen.answered();
+        chosen.flushed();
+        ended.await;
+    }
+
+    const ALONE: Elsewhere = Elsewhere { processes: 0, connections: 0 };
+
+    /// The least of limits: a quarter of it is the clients'.
+    fn of_six() -> ClientConnections {
+        ClientConnections::new(24, 0, Count::default())
     }
 }
--- a/crates/vetchbridge/src/front.rs
+++ b/crates/vetchbridge/src/front.rs
@@ -4,7 +4,8 @@
 //! it, and bounds the memory that bodies take. It must never hold a request back, answer for the module, or
 //! pass on a request whose framing or meaning is in doubt.
 
-use crate::connections::{ClientConnection, ClientConnections, Place, Watched, HEAD_LIMIT};
+use crate::admin;
+use crate::connections::{ClientConnection, ClientConnections, Elsewhere, Place, Watched, HEAD_LIMIT};
 use crate::engine::Engine;
 use crate::kin::Kin;
 use crate::life::Life;
@@ -33,6 +34,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::time::{sleep_until, Instant};
 use tower_service::Service;
 use tracing::{debug, warn};
 
@@ -79,6 +81,7 @@
     ) -> Arc<Front> {
         let room = || Arc::new(Semaphore::new((memory / 8).clamp(BODY_LIMIT, usize::MAX >> 4) / PIECE));
         let (adopted, adoptions) = unbounded_channel();
+        let connections = ClientConnections::new(sockets, admin::callers(sockets), upstream.connections());
         Arc::new(Front {
             engine,
             upstream,
@@ -86,8 +89,7 @@
             life,
             kin,
             adopted: (adopted, Mutex::new(Some(adoptions))),
-            // The other half is for the peers, discovery and the program itself.
-            connections: ClientConnections::new(sockets / 2),
+            connections,
             job_room: room(),
             callback_room: room(),
         })
@@ -103,6 +105,10 @@
         self.connections.count()
     }
 
+    fn elsewhere(&self) -> Elsewhere {
+        Elsewhere { processes: self.kin.processes(), connections: self.kin.connections() }
+    }
+
     /// Goes on with a client connection that another process has served so far.
     pub fn adopt(&self, connection: OwnedFd, kept: bool) {
         // Nobody receives once the listener has gone, with the process.
@@ -122,13 +128,16 @@
         let mut successor = self.kin.successor();
         loop {
             let alone = successor.borrow_and_update().is_none();
+            // Until then a newcomer waits with the kernel: those just before it have not had the time to speak.
+            let relief = self.connections.relief(self.elsewhere());
             let (accepted, kept) = tokio::select! {
-                accepted = listener.accept(), if alone => (accepted.map(|(stream, _)| stream), None),
+                () = sleep_until(relief.unwrap_or_else(Instant::now)), if relief.is_some() => continue,
+                accepted = listener.accept(), if alone && relief.is_none() => (accepted.map(|(stream, _)| stream), None),
                 Some((connection, kept)) = adoptions.recv() => {
                     (TcpStream::from_std(connection.into()), Some(kept))
                 }
                 _ = sweep.tick() => {
-                    self.connections.sweep();
+                    self.connections.sweep(self.elsewhere());
                     continue;
                 }
                 _ = successor.changed() => continue,
@@ -150,7 +159,7 @@
     /// A client connection's life here: to its end, or until a successor goes on with it. `kept`: another process has
     /// served it so far, and has or has not answered on it.
     async fn client_connection(self: Arc<Self>, stream: TcpStream, kept: Option<bool>, router: Router) {
-        let Some(Place { connection, .. }) = &self.connections.place(self.kin.connections()) else {
+        let Some(Place { connection, .. }) = &self.connections.place(self.elsewhere()) else {
             return debug!("connection.refused");
         };
         if kept == Some(true) {
@@ -177,6 +186,8 @@
                 }
             };
             tokio::select! {
+                // First what has been read: a connection chosen to make room may have a request in hand.
+                biased;
                 served = Pin::new(&mut serving) => break served,
                 () = connection.ended() => return debug!("connection.evicted"),
                 () = async { drop(state.wait_for(|state| state.closes_idle()).await) }, if !closing => {
--- a/crates/vetchbridge/src/kin.rs
+++ b/crates/vetchbridge/src/kin.rs
@@ -173,6 +173,11 @@
         lock(&self.links).iter().map(|link| lock(&link.known).connections).sum()
     }
 
+    /// How many other processes there are.
+    pub fn processes(&self) -> usize {
+        lock(&self.links).len()
+    }
+
     /// Tells every other process.
     pub fn tell(&self, word: impl Fn() -> Word) {
         for link in lock(&self.links).iter() {
--- a/crates/vetchbridge/src/upstream.rs
+++ b/crates/vetchbridge/src/upstream.rs
@@ -4,6 +4,7 @@
 //! gives it back when it is dropped. This file must never choose a peer, repeat a request by itself, or write
 //! to a peer that was told to be leaving while the attempt still waited for a connection.
 
+use crate::connections::{Count, Counted};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::header::{CONTENT_LENGTH, HOST};
@@ -127,6 +128,7 @@
     peers: Mutex<HashMap<WorkerId, Arc<Peer>>>,
     callbacks: Arc<Table<Callback>>,
     times: Mutex<Times>,
+    connections: Count,
 }
 
 /// How long things may take.
@@ -166,7 +168,17 @@
     /// A group without peers. `conn_idle` is when peers close an idle connection themselves.
     pub fn new(dial_timeout: Duration, conn_idle: Duration) -> UpstreamGroup {
         let times = Mutex::new(Times::new(dial_timeout, conn_idle));
-        UpstreamGroup { peers: Mutex::default(), callbacks: Arc::default(), times }
+        UpstreamGroup {
+            peers: Mutex::default(),
+            callbacks: Arc::default(),
+            times,
+            connections: Count::default(),
+        }
+    }
+
+    /// How many connections to peers there are, dials included.
+    pub fn connections(&self) -> Count {
+        self.connections.clone()
     }
 
     /// Other times hold from now on, for every peer; attempts that are out keep theirs.
@@ -263,7 +275,7 @@
             .pool_idle_timeout(times.idle)
             .pool_max_idle_per_host(IDLE_PER_PEER)
             .pool_timer(TokioTimer::new())
-            .build(Dialer(tcp))
+            .build(Dialer(tcp, self.connections.clone()))
     }
 
     fn listen(&self, id: RequestId, worker: WorkerId) -> Inbox {
@@ -490,13 +502,14 @@
     }
 }
 
-/// Dials peers; its connections carry a [`Meter`].
+/// Dials peers; its connections carry a [`Meter`] and are counted from the dial on.
 #[derive(Clone)]
-struct Dialer(HttpConnector);
+struct Dialer(HttpConnector, Count);
 
 struct Metered {
     io: TokioIo<TcpStream>,
     meter: Meter,
+    _counted: Counted,
 }
 
 impl Service<Uri> for Dialer {
@@ -509,8 +522,8 @@
     }
 
     fn call(&mut self, uri: Uri) -> Self::Future {
-        let dial = self.0.call(uri);
-        Box::pin(async move { Ok(Metered { io: dial.await?, meter: Meter::default() }) })
+        let (dial, counted) = (self.0.call(uri), self.1.one());
+        Box::pin(async move { Ok(Metered { io: dial.await?, meter: Meter::default(), _counted: counted }) })
     }
 }
 
--- a/crates/vetchbridge/tests/node.rs
+++ b/crates/vetchbridge/tests/node.rs
@@ -89,8 +89,10 @@
     let name = format!("{}-{number}.json", std::process::id());
     let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
     std::fs::write(&path, config).expect("written");
+    let told: Value = serde_json::from_str(config).unwrap_or_default();
+    let sockets = told["limits"]["sockets"].as_u64().unwrap_or(SOCKETS.into());
     let mut command = Command::new("sh");
-    command.args(["-c", &format!("ulimit -n {SOCKETS}; exec {}", env!("CARGO_BIN_EXE_vetchbridge"))]);
+    command.args(["-c", &format!("ulimit -n {sockets}; exec {}", env!("CARGO_BIN_EXE_vetchbridge"))]);
     command.env_clear().env("BALANCER_CONFIG", &path).stderr(Stdio::piped());
     (command, path)
 }
@@ -174,6 +176,11 @@
 
     /// `others` are listed after the scripted peers.
     async fn set_with(peers: usize, others: &[SocketAddr]) -> Stage {
+        Stage::limited(peers, others, SOCKETS).await
+    }
+
+    /// The daemon may hold so many descriptors.
+    async fn limited(peers: usize, others: &[SocketAddr], sockets: u32) -> Stage {
         let listener = || async { TcpListener::bind("127.0.0.1:0").await.expect("a port") };
         let discovery = listener().await;
         let mut listeners = Vec::new();
@@ -184,7 +191,8 @@
         let addresses = scripted.chain(others.iter().copied()).enumerate();
         let known: Vec<Value> = addresses.map(|(n, address)| instance(n, address, "up")).collect();
         let folder = tempfile::tempdir().expect("a folder");
-        let config = config(discovery.local_addr().unwrap(), known.clone().into());
+        let mut config = config(discovery.local_addr().unwrap(), known.clone().into());
+        config["limits"]["sockets"] = sockets.into();
         let daemon = Process::start(&config, folder.path());
         Stage { daemon, folder, known, discovery, peers: listeners, next_id: 0xab00 }
     }
@@ -1021,6 +1029,36 @@
     assert_eq!(status(&client.read().await), "200");
 }
 
+/// More than half of the descriptors are the clients' when the peers need few: jobs that wait for their answer, those
+/// who asked once and stayed and those who never finish keep out no further job, however many they are.
+#[rstest]
+#[timeout(HANG)]
+#[tokio::test]
+async fn a_full_house_takes_one_more_job() {
+    let mut stage = Stage::limited(1, &[], 2 * SOCKETS).await;
+    let (mut waiting, mut rude) = (Vec::new(), Vec::new());
+    for round in 0..68 {
+        let mut stays = dial(stage.daemon.address).await;
+        stays.send("GET /health/ready HTTP/1.1\r\nhost: x\r\n\r\n").await;
+        assert_eq!(status(&stays.read().await), "200");
+        rude.push(stays);
+        if round % 16 == 0 {
+            let mut half = dial(stage.daemon.address).await;
+            half.send("POST /safe/k HTTP/1.1\r\nX-Tr").await;
+            rude.push(half);
+        }
+        waiting.push(stage.job("safe", "k").await);
+        let (_, mut peer) = stage.peer().await;
+        peer.read().await.expect("the job");
+        // So that the next job is seen to be dialled for.
+        peer.send("HTTP/1.1 202 Accepted\r\nconnection: close\r\ncontent-length: 0\r\n\r\n").await;
+    }
+    for (client, id) in &mut waiting {
+        stage.call_back(id, 0, "done").await;
+        assert_eq!(status(&client.read().await), "200");
+    }
+}
+
 /// A configuration that can't be used ends the start with the key's name.
 #[rstest]
 #[case::listen("/listen", json!("nowhere"), "listen")]
