--- a/crates/vetchbridge/src/upstream.rs
+++ b/crates/vetchbridge/src/upstream.rs
@@ -1,9 +1,10 @@
 //! The upstream group: the peers that discovery has named, their connections, and the attempts and probes out at them.
 //!
 //! Each [`Peer`] owns its pool of connections; each attempt owns its place in the table of callbacks and
-//! gives it back when it is dropped. This file must never choose a peer or a time to probe one, repeat a request by itself, or write
-//! to a peer that was told to be leaving while the attempt still waited for a connection.
+//! gives it back when it is dropped. This file must never choose a peer or a time to probe one, repeat a request by itself,
+//! or write to a peer that was told to be leaving while the attempt still waited for a connection.
 
+use crate::connections::{Count, Counted};
 use crate::load::{self, Reports};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
@@ -138,6 +139,7 @@
     reports: Mutex<Reports>,
     /// Probes that may still go out: each may hold a descriptor.
     probes: Semaphore,
+    connections: Count,
 }
 
 /// How long things may take.
@@ -185,6 +187,7 @@
             times,
             reports: Mutex::default(),
             probes,
+            connections: Count::default(),
         }
     }
 
@@ -193,6 +196,11 @@
         *lock(&self.reports) = reports;
     }
 
+    /// How many connections to peers there are, dials included.
+    pub fn connections(&self) -> Count {
+        self.connections.clone()
+    }
+
     /// Other times hold from now on, for every peer; attempts that are out keep theirs.
     pub fn retime(&self, dial_timeout: Duration, conn_idle: Duration) {
         let times = Times::new(dial_timeout, conn_idle);
@@ -287,7 +295,7 @@
             .pool_idle_timeout(times.idle)
             .pool_max_idle_per_host(IDLE_PER_PEER)
             .pool_timer(TokioTimer::new())
-            .build(Dialer(tcp))
+            .build(Dialer(tcp, self.connections.clone()))
     }
 
     fn listen(&self, id: RequestId, worker: WorkerId) -> Inbox {
@@ -590,13 +598,14 @@
     }
 }
 
-/// Dials peers; its connections carry a [`Meter`].
+/// Dials peers; its connections carry a [`Meter`] and are counted from the dial on.
 #[derive(Clone)]
-struct Dialer(HttpConnector);
+struct Dialer(HttpConnector, Count);
 
 struct Metered {
     io: TokioIo<TcpStream>,
     meter: Meter,
+    _counted: Counted,
 }
 
 impl Service<Uri> for Dialer {
@@ -609,8 +618,8 @@
     }
 
     fn call(&mut self, uri: Uri) -> Self::Future {
-        let dial = self.0.call(uri);
-        Box::pin(async move { Ok(Metered { io: dial.await?, meter: Meter::default() }) })
+        let (dial, counted) = (self.0.call(uri), self.1.one());
+        Box::pin(async move { Ok(Metered { io: dial.await?, meter: Meter::default(), _counted: counted }) })
     }
 }
 
--- a/crates/wirehost/tests/wire.rs
+++ b/crates/wirehost/tests/wire.rs
@@ -54,7 +54,10 @@
     let lines: Vec<String> = String::from_utf8_lossy(&output.stdout).lines().map(str::to_string).collect();
     assert_eq!(lines[..3], ["from who=3", "keep_informed want=1", "end"]);
     assert_eq!(lines.iter().filter(|l| l.as_str() == "end").count(), 3);
-    assert!(lines.contains(&"call_out req=00000000000000ab runner=10.0.0.1:80".to_string()), "{lines:?}");
+    assert!(
+        lines.contains(&"call_out req=00000000000000ab patience=500000 runner=10.0.0.1:80".to_string()),
+        "{lines:?}"
+    );
     assert_eq!(lines.last().map(String::as_str), Some("end"));
 }
 
