--- a/crates/silverproxy/src/policy.rs
+++ b/crates/silverproxy/src/policy.rs
@@ -626,8 +626,8 @@
         known && fair && !worker.busy(now, slots, self.room * (COLD_SLOTS + warmth).min(1.0))
     }
 
-    /// Own slots out at which a worker is busy where nothing tells how full it is: by its share of all own ones,
-    /// were they spread by what the workers can do now.
+    /// Own slots out at which a worker is busy where nothing tells how full it is: its share of all of them,
+    /// if they were spread by what the workers can do now.
     fn own_bound(&self, now: Micros, at: usize) -> Option<f64> {
         let able = |w: &Worker| w.units * w.warmth(now, &self.settings.rules);
         let ready = self.workers.iter().filter(|w| w.ready).map(|w| (w.own_slots(), able(w)));
