Let stand-in peers answer probes, tell their load, backfill their queue and fetch keys

The platform of stand-ins could play one kind of deployment only: peers that tell nothing of their load and serve in order. A deployment whose peers are probed could not be rehearsed.

queue.rs takes the semaphore's place: fifo, or backfill where whatever fits starts. stats.rs reckons what a report says at a moment from the changes of the load, by its refresh and its lateness; a task that samples was not taken, since what it tells depends on when it is run. Probes are GET /stats and GET /health/live, 404 where a peer has none, deep ones in the queue like a request; a script makes one late, lost, cut or refused. store.rs holds what a peer keeps and the one store that all fetch from. Load with answers goes into the header and the callback.

Tests: the three modules by themselves with a paused clock, and four stories over sockets.

--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -23,7 +23,10 @@
 pub mod discovery;
 pub mod front;
 pub mod peer;
+pub mod queue;
 pub mod runs;
+pub mod stats;
+pub mod store;
 pub mod wire;
 
 use std::io;
--- a/crates/platform/src/peer.rs
+++ b/crates/platform/src/peer.rs
@@ -5,7 +5,10 @@
 //! does, and dropping the peer likewise. A peer listens on one port for each scheduler, since that is how it knows
 //! whom to call back. It must never keep an account of its own: what ran stands in [`Runs`].
 
+use crate::queue::{Order, Queue};
 use crate::runs::{result, Admission, Run, RunEnd, Runs};
+use crate::stats::{Ledger, Load, StatsSpec};
+use crate::store::{Kept, Store};
 use crate::wire::{Message, Wire};
 use crate::{Owned, Port};
 use bytes::Bytes;
@@ -23,7 +26,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::net::TcpListener;
 use tokio::sync::mpsc::{unbounded_channel, UnboundedSender};
-use tokio::sync::{oneshot, watch, Semaphore};
+use tokio::sync::{oneshot, watch};
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout, Instant};
 
@@ -73,6 +76,23 @@
     pub window: Duration,
     /// The work of a job whose body names none.
     pub work: Duration,
+    /// In what order waiting jobs start.
+    pub order: Order,
+    /// What it tells of its load; nothing if absent.
+    pub stats: Option<StatsSpec>,
+    /// How it answers probes; it answers none if absent.
+    pub probes: Option<ProbeSpec>,
+    /// Where it fetches what a job's object needs, and how many objects' it keeps; jobs need nothing if absent.
+    pub setup: Option<(Store, usize)>,
+}
+
+/// What a probe is to a peer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ProbeSpec {
+    /// It waits for a slot as a request does, and is turned away where a request would be.
+    pub deep: bool,
+    /// Its work.
+    pub work: Duration,
 }
 
 impl PeerSpec {
@@ -96,6 +116,10 @@
             stops_running: true,
             window: Duration::from_secs(15),
             work: Duration::ZERO,
+            order: Order::Fifo,
+            stats: None,
+            probes: None,
+            setup: None,
         }
     }
 }
@@ -138,16 +162,34 @@
     Pieces,
 }
 
+/// What a peer does with one probe.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ProbeAct {
+    /// Answer it as a peer of its make does.
+    Answer,
+    /// The same, so much later.
+    Late(Duration),
+    /// Say nothing until the scheduler closes: the probe is lost.
+    Mute,
+    /// Answer 503.
+    Refuse,
+    /// Reset the connection.
+    Cut,
+}
+
 /// A callback's state and, with `running`, its share.
 type Word = (&'static str, f64, String);
 type Job = BoxFuture<'static, ()>;
 
 struct State {
     acts: VecDeque<Act>,
+    probe_acts: VecDeque<ProbeAct>,
     slow: f64,
     refusing: bool,
     born: Option<(Instant, u64)>,
     waiting: usize,
+    running: usize,
+    ledger: Ledger,
     open: HashMap<u64, Vec<watch::Sender<bool>>>,
     killed: bool,
 }
@@ -157,7 +199,8 @@
     runs: Runs,
     began: Instant,
     state: Mutex<State>,
-    slots: Semaphore,
+    slots: Queue,
+    kept: Kept,
     draining: watch::Sender<bool>,
     client: Client<HttpConnector, Full<Bytes>>,
 }
@@ -191,16 +234,19 @@
             .build(tcp);
         let state = State {
             acts: VecDeque::new(),
+            probe_acts: VecDeque::new(),
             slow: 1.0,
             refusing: false,
             born: None,
             waiting: 0,
+            running: 0,
+            ledger: Ledger::new(spec.stats.as_ref(), spec.slots),
             open: HashMap::new(),
             killed: false,
         };
-        let (slots, draining) = (Semaphore::new(spec.slots), watch::Sender::new(false));
-        let shared =
-            Arc::new(Shared { spec, runs, began, state: Mutex::new(state), slots, draining, client });
+        let (slots, draining) = (Queue::new(spec.slots, spec.order), watch::Sender::new(false));
+        let (state, kept) = (Mutex::new(state), Kept::new(spec.setup.clone()));
+        let shared = Arc::new(Shared { spec, runs, began, state, slots, kept, draining, client });
         let ports = schedulers.iter().map(|to| Ok((Port::reserve()?, *to))).collect::<io::Result<_>>()?;
         let peer = Peer { shared, ports, server: Mutex::new(None) };
         peer.listen()?;
@@ -236,6 +282,16 @@
         self.shared.state().acts.extend(acts);
     }
 
+    /// Lays in what it does with the next probes, one act each; it answers those after them.
+    pub fn next_probes(&self, acts: impl IntoIterator<Item = ProbeAct>) {
+        self.shared.state().probe_acts.extend(acts);
+    }
+
+    /// Tells of its load so late from now on.
+    pub fn tell_late(&self, late: Duration) {
+        self.shared.state().ledger.late(late);
+    }
+
     /// Turns every job away unseen, or stops doing so.
     pub fn refuse(&self, refusing: bool) {
         self.shared.state().refusing = refusing;
@@ -276,9 +332,11 @@
         {
             let mut state = self.shared.state();
             (state.killed, state.waiting, state.slow, state.refusing) = (false, 0, 1.0, false);
+            state.running = 0;
             state.open.clear();
             state.born = Some((Instant::now(), unix.as_millis() as u64));
         }
+        self.shared.kept.forget();
         self.shared.draining.send_replace(false);
         self.listen()
     }
@@ -355,6 +413,10 @@
             id.into_iter().for_each(|id| shared.call_off(id));
             return wire.answer(200, "", "").await.ok();
         }
+        if head.method() == "GET" {
+            wire.body(length).await?;
+            return self.probe(head.target()).await;
+        }
         let act = shared.state().acts.pop_front().unwrap_or(Act::Serve);
         if act == Act::CutInBody {
             self.reset();
@@ -370,7 +432,8 @@
         match act {
             Act::Answer { status, never_ran } => {
                 let headers = if never_ran { "x-never-ran: 1\r\n" } else { "" };
-                return wire.answer(status, headers, "").await.ok();
+                let headers = format!("{headers}{}", shared.load_header());
+                return wire.answer(status, &headers, "").await.ok();
             }
             Act::Mute => {
                 wire.closed().await;
@@ -387,7 +450,8 @@
             _ => {}
         }
         if !shared.has_room() {
-            return wire.answer(503, "x-never-ran: 1\r\n", "").await.ok();
+            let headers = format!("x-never-ran: 1\r\n{}", shared.load_header());
+            return wire.answer(503, &headers, "").await.ok();
         }
         if act == Act::Overtake {
             let job = shared.clone().job(to, id, &message, Act::Serve);
@@ -401,6 +465,42 @@
         }
         jobs.send(Box::pin(shared.job(to, id, &message, act))).ok()
     }
+
+    /// One probe; `None` ends the connection.
+    async fn probe(&mut self, target: &str) -> Option<()> {
+        let shared = self.shared.clone();
+        let wire = self.wire.as_mut()?;
+        let stats = match (target, &shared.spec.probes) {
+            ("/stats", Some(_)) => shared.spec.stats.as_ref(),
+            ("/health/live", Some(_)) => None,
+            _ => return wire.answer(404, "", "").await.ok(),
+        };
+        shared.runs.probe();
+        let act = shared.state().probe_acts.pop_front().unwrap_or(ProbeAct::Answer);
+        match act {
+            ProbeAct::Answer => {}
+            ProbeAct::Late(time) => sleep(time).await,
+            ProbeAct::Mute => {
+                wire.closed().await;
+                return None;
+            }
+            ProbeAct::Refuse => return wire.answer(503, "", "").await.ok(),
+            ProbeAct::Cut => {
+                self.reset();
+                return None;
+            }
+        }
+        let served = tokio::select! {
+            served = shared.serve_probe() => served,
+            // A scheduler that gave the probe up takes it out of the queue.
+            () = wire.closed() => return None,
+        };
+        if !served {
+            return wire.answer(503, "", "").await.ok();
+        }
+        let body = stats.map(|stats| stats.json(&shared.told_load()).to_string()).unwrap_or_default();
+        wire.answer(200, "", &body).await.ok()
+    }
 }
 
 /// A job's place among those that wait or run; given back when it ends, however it ends.
@@ -410,20 +510,30 @@
     called_off: watch::Receiver<bool>,
     run: Option<usize>,
     waiting: bool,
+    running: bool,
 }
 
 impl Place {
-    fn leave_queue(&mut self) {
-        if std::mem::take(&mut self.waiting) {
-            let mut state = self.shared.state();
-            state.waiting = state.waiting.saturating_sub(1);
-        }
+    /// From the queue to a slot.
+    fn begin(&mut self) {
+        self.leave();
+        self.running = true;
+        self.shared.state().running += 1;
+        self.shared.note();
+    }
+
+    fn leave(&mut self) {
+        let (waiting, running) = (std::mem::take(&mut self.waiting), std::mem::take(&mut self.running));
+        let mut state = self.shared.state();
+        state.waiting = state.waiting.saturating_sub(usize::from(waiting));
+        state.running = state.running.saturating_sub(usize::from(running));
     }
 }
 
 impl Drop for Place {
     fn drop(&mut self) {
-        self.leave_queue();
+        self.leave();
+        self.shared.note();
         if let Some(run) = self.run {
             // Whoever ended it otherwise has said so before.
             self.shared.runs.end(run, RunEnd::Lost);
@@ -445,10 +555,54 @@
 
     fn has_room(&self) -> bool {
         let state = self.state();
-        let room = state.waiting < self.spec.queue || self.slots.available_permits() > state.waiting;
+        let room = state.waiting < self.spec.queue || self.slots.free() > state.waiting;
         room && !state.refusing && !*self.draining.borrow()
     }
 
+    /// Notes how loaded it is from now on.
+    fn note(&self) {
+        let free = self.slots.free();
+        let state = &mut *self.state();
+        let inflight = state.waiting + state.running;
+        state.ledger.note(
+            self.began.elapsed(),
+            Load { inflight, queue: state.waiting, free, slots: self.spec.slots },
+        );
+    }
+
+    /// What it tells of its load.
+    fn told_load(&self) -> Load {
+        self.state().ledger.told(self.began.elapsed())
+    }
+
+    /// The header line with which an answer that ends an attempt tells of its load.
+    fn load_header(&self) -> String {
+        let stats = self.spec.stats.as_ref().filter(|stats| stats.in_answers);
+        let line =
+            |stats: &StatsSpec| format!("endpoint-load-metrics: {}\r\n", stats.text(&self.told_load()));
+        stats.map(line).unwrap_or_default()
+    }
+
+    /// Does a probe's work; whether it was let in.
+    async fn serve_probe(&self) -> bool {
+        let Some(probe) = self.spec.probes else { return false };
+        if probe.deep && !self.has_room() {
+            return false;
+        }
+        let slot = if probe.deep { self.slots.take(1).await } else { None };
+        if slot.is_some() {
+            self.note();
+        }
+        if !probe.work.is_zero() {
+            sleep(probe.work.div_f64(self.rate().max(GRAIN)).min(STEP * 20)).await;
+        }
+        if slot.is_some() {
+            drop(slot);
+            self.note();
+        }
+        true
+    }
+
     fn call_off(&self, id: u64) {
         if let Some(all) = self.state().open.get(&id) {
             all.iter().for_each(|sender| _ = sender.send_replace(true));
@@ -479,16 +633,20 @@
             end: RunEnd::Open,
         };
         let text = message.text();
-        let named = text.split("work_us=").nth(1).map(|rest| rest.split(|c: char| !c.is_ascii_digit()));
-        let named = named.and_then(|mut parts| parts.next()?.parse().ok()).map(Duration::from_micros);
-        let work = named.unwrap_or(self.spec.work);
+        let named = |name: &str| -> Option<u64> {
+            let rest = text.split(name).nth(1)?;
+            rest.split(|c: char| !c.is_ascii_digit()).next()?.parse().ok()
+        };
+        let work = named("work_us=").map_or(self.spec.work, Duration::from_micros);
+        let need = named("slots=").map_or(1, |need| need as usize);
         let (off, called_off) = watch::channel(false);
         {
             let mut state = self.state();
             state.waiting += 1;
             state.open.entry(id).or_default().push(off);
         }
-        let place = Place { shared: self.clone(), id, called_off, run: None, waiting: true };
+        self.note();
+        let place = Place { shared: self.clone(), id, called_off, run: None, waiting: true, running: false };
         Box::pin(async move {
             let (words, mut told) = unbounded_channel::<Word>();
             let repeats = if let Act::Repeat(times) = act { times } else { 1 };
@@ -496,7 +654,7 @@
                 if act == Act::Garble {
                     self.tell_raw(to, "{\"id\":".to_string()).await;
                 }
-                let last = self.lived(place, run, work, &act, &words).await;
+                let last = self.lived(place, run, (work, need), &act, &words).await;
                 if let Some(last) = last {
                     (0..repeats).for_each(|_| drop(words.send(last.clone())));
                 }
@@ -516,7 +674,7 @@
         &self,
         mut place: Place,
         mut run: Run,
-        work: Duration,
+        (work, need): (Duration, usize),
         act: &Act,
         words: &UnboundedSender<Word>,
     ) -> Option<Word> {
@@ -531,9 +689,10 @@
             biased;
             _ = called_off.wait_for(|off| *off) => return None,
             _ = draining.wait_for(|draining| *draining) => return word("returned", 0.0),
-            slot = self.slots.acquire() => slot.ok()?,
+            slot = self.slots.take(need) => slot?,
         };
-        place.leave_queue();
+        place.begin();
+        let object = run.object.clone();
         run.started = self.began.elapsed();
         let id = run.id;
         let number = match self.runs.start(run, self.spec.window) {
@@ -541,6 +700,7 @@
             Admission::Finished(first) => return Some(("done", 1.0, self.result_of(first))),
             Admission::Running(first) => {
                 drop(slot);
+                self.note();
                 return match self.runs.ended(first).await {
                     RunEnd::Finished => Some(("done", 1.0, self.result_of(first))),
                     _ => word("failed", 0.0),
@@ -559,6 +719,13 @@
             }
             _ => {}
         }
+        tokio::select! {
+            () = self.kept.ready(&object) => {}
+            _ = called_off.wait_for(|off| *off), if self.spec.stops_running => {
+                self.runs.end(number, RunEnd::Stopped);
+                return None;
+            }
+        }
         let (total, mut left) = (work.as_secs_f64(), work.as_secs_f64());
         let mut since_told = Duration::ZERO;
         // A rest below the clock's grain would never be worked off.
@@ -594,6 +761,10 @@
             "done" => body["result"] = json!(result),
             _ => {}
         }
+        let stats = self.spec.stats.as_ref().filter(|stats| stats.in_answers);
+        if let (Some(stats), "done" | "failed" | "returned") = (stats, *state) {
+            body["load"] = stats.json(&self.told_load());
+        }
         let body = body.to_string();
         if !pieces {
             return self.tell_raw(to, body).await;
--- a/crates/platform/src/runs.rs
+++ b/crates/platform/src/runs.rs
@@ -59,6 +59,7 @@
     keys: HashMap<String, usize>,
     attempts: u64,
     dropped: u64,
+    probes: u64,
 }
 
 /// See the head of this file. Clones share one account.
@@ -75,6 +76,16 @@
         self.state().attempts += 1;
     }
 
+    /// Notes a probe that arrived at a peer.
+    pub fn probe(&self) {
+        self.state().probes += 1;
+    }
+
+    /// Probes that arrived.
+    pub fn probes(&self) -> u64 {
+        self.state().probes
+    }
+
     /// Starts a run, unless it repeats one of the same key that began within `window`.
     pub fn start(&self, run: Run, window: Duration) -> Admission {
         let state = &mut *self.state();
--- a/crates/platform/tests/stories.rs
+++ b/crates/platform/tests/stories.rs
@@ -4,8 +4,9 @@
 
 use platform::discovery::{Discovery, Health};
 use platform::front::Front;
-use platform::peer::{Act, Peer, PeerSpec};
+use platform::peer::{Act, Peer, PeerSpec, ProbeAct, ProbeSpec};
 use platform::runs::{result, RunEnd, Runs};
+use platform::stats::{Field, StatsSpec};
 use platform::wire::{Message, Wire};
 use rstest::rstest;
 use std::net::SocketAddr;
@@ -317,3 +318,110 @@
     let mut client = Wire::dial(front.address()).await.expect("it listens");
     assert!(client.read().await.is_none(), "nobody is left to deal to");
 }
+
+fn stats(in_answers: bool) -> Option<StatsSpec> {
+    let fields = vec![Field::Inflight, Field::Queue, Field::X0];
+    Some(StatsSpec { fields, every: Duration::ZERO, late: Duration::ZERO, in_answers })
+}
+
+async fn get(wire: &mut Wire, target: &str) -> Option<Message> {
+    wire.write(&format!("GET {target} HTTP/1.1\r\nhost: x\r\n\r\n")).await.expect("sent");
+    wire.read().await
+}
+
+/// Works longer than any story: it ends with its peer, or is called off.
+const LONG: &str = "work_us=600000000";
+
+#[rstest]
+#[timeout(HANG)]
+#[tokio::test]
+async fn a_peer_that_may_be_probed_tells_its_load_and_another_knows_no_such_call() {
+    let probes = Some(ProbeSpec { deep: false, work: Duration::ZERO });
+    let spec = PeerSpec { slots: 1, stats: stats(false), probes, ..PeerSpec::new("s-0") };
+    let stage = Stage::set(spec).await;
+    let mut wire = stage.send(1, "", LONG).await;
+    wire.read().await.expect("an answer");
+    assert_eq!(stage.told_state().await, "started");
+    let post =
+        format!("POST /c/k HTTP/1.1\r\nhost: x\r\nx-trace-id: {:016x}\r\ncontent-length: 0\r\n\r\n", 2);
+    wire.write(&post).await.expect("sent");
+    wire.read().await.expect("an answer");
+    let load = get(&mut wire, "/stats").await.expect("an answer");
+    assert_eq!((load.status(), &*load.text()), ("200", r#"{"inflight":2,"queue":1,"x0":0}"#));
+    let live = get(&mut wire, "/health/live").await.expect("an answer");
+    assert_eq!((live.status(), &*live.text()), ("200", ""));
+    assert_eq!((stage.runs.probes(), stage.runs.counts().0), (2, 2));
+
+    let stage = Stage::set(PeerSpec { stats: stats(true), ..PeerSpec::new("s-0") }).await;
+    stage.peer.next([Act::Mute]);
+    let mut wire = Wire::dial(stage.address()).await.expect("it listens");
+    for target in ["/stats", "/health/live", "/jobs/1"] {
+        let answer = get(&mut wire, target).await.expect("an answer");
+        assert_eq!((answer.status(), &*answer.text()), ("404", ""), "{target}");
+    }
+    assert_eq!(stage.runs.probes(), 0);
+}
+
+#[rstest]
+#[timeout(HANG)]
+#[tokio::test]
+async fn a_deep_probe_waits_its_turn_and_is_turned_away_where_a_request_would_be() {
+    let probes = Some(ProbeSpec { deep: true, work: Duration::from_millis(2) });
+    let spec = PeerSpec { slots: 1, queue: 1, stats: stats(false), probes, ..PeerSpec::new("s-0") };
+    let stage = Stage::set(spec).await;
+    let mut running = stage.send(1, "", LONG).await;
+    running.read().await.expect("an answer");
+    assert_eq!(stage.told_state().await, "started");
+    let mut probe = Wire::dial(stage.address()).await.expect("it listens");
+    probe.write("GET /stats HTTP/1.1\r\nhost: x\r\n\r\n").await.expect("sent");
+    running.write("DELETE /jobs/1 HTTP/1.1\r\nhost: x\r\n\r\n").await.expect("sent");
+    assert_eq!(running.read().await.expect("an answer").status(), "200");
+    assert_eq!(probe.read().await.expect("once the slot is free").status(), "200");
+    stage.send(2, "", LONG).await.read().await.expect("an answer");
+    assert_eq!(stage.told_state().await, "started");
+    // The connection's next message is read once the job stands in the queue.
+    let mut waiting = stage.send(3, "", LONG).await;
+    waiting.read().await.expect("an answer");
+    assert_eq!(get(&mut waiting, "/stats").await.expect("no room").status(), "503");
+}
+
+#[rstest]
+#[timeout(HANG)]
+#[tokio::test]
+async fn a_probe_is_answered_late_lost_cut_or_refused_as_it_is_told() {
+    let probes = Some(ProbeSpec { deep: false, work: Duration::ZERO });
+    let stage = Stage::set(PeerSpec { probes, ..PeerSpec::new("s-0") }).await;
+    let late = Duration::from_millis(50);
+    stage.peer.next_probes([ProbeAct::Late(late), ProbeAct::Refuse, ProbeAct::Mute, ProbeAct::Cut]);
+    let mut wire = Wire::dial(stage.address()).await.expect("it listens");
+    let began = std::time::Instant::now();
+    assert_eq!(get(&mut wire, "/health/live").await.expect("late").status(), "200");
+    assert!(began.elapsed() >= late);
+    assert_eq!(get(&mut wire, "/health/live").await.expect("refused").status(), "503");
+    wire.write("GET /health/live HTTP/1.1\r\nhost: x\r\n\r\n").await.expect("sent");
+    tokio::io::AsyncWriteExt::shutdown(wire.socket()).await.expect("closed");
+    assert!(wire.read().await.is_none(), "lost");
+    let mut wire = Wire::dial(stage.address()).await.expect("it listens");
+    assert!(get(&mut wire, "/health/live").await.is_none(), "cut");
+    let mut wire = Wire::dial(stage.address()).await.expect("it listens");
+    assert_eq!(get(&mut wire, "/health/live").await.expect("as ever").status(), "200");
+}
+
+#[rstest]
+#[timeout(HANG)]
+#[tokio::test]
+async fn what_ends_an_attempt_carries_the_load_where_peers_tell_it_so() {
+    let spec =
+        PeerSpec { slots: 1, queue: 0, tells_start: false, stats: stats(true), ..PeerSpec::new("s-0") };
+    let stage = Stage::set(spec).await;
+    stage.send(1, "", "").await.read().await.expect("an answer");
+    let done: serde_json::Value = serde_json::from_slice(&stage.told().await.body).expect("JSON");
+    assert_eq!(done["load"], serde_json::json!({"inflight": 0, "queue": 0, "x0": 1}), "{done}");
+    stage.peer.refuse(true);
+    let away = stage.send(2, "", "").await.read().await.expect("an answer");
+    assert_eq!(away.header("endpoint-load-metrics"), Some("TEXT inflight=0, queue=0, x0=1"));
+    let quiet = Stage::set(PeerSpec { stats: stats(false), ..PeerSpec::new("s-0") }).await;
+    quiet.peer.refuse(true);
+    let away = quiet.send(2, "", "").await.read().await.expect("an answer");
+    assert_eq!(away.header("endpoint-load-metrics"), None);
+}
