Play a second made-up deployment with the kit: tenants, probes, an unsafe class, troubles

The kit knew one kind of deployment. What worked there by luck was not seen elsewhere, and the account did not hold that a client may trust a refusal of a job that must not run twice.

Plans say how peers tell of their load and answer probes, what jobs need before they run, who the tenants are, what hints are worth, how much of the advice clients heed, and which troubles come when: the list refuses or resets, reports come late, a peer dies. Clients of an unsafe class come back only after a refusal or without a connection; the account counts runs by job, and names a job that was refused though it had run. Served in time is told by class and by tenant.

--- a/crates/platform/src/account.rs
+++ b/crates/platform/src/account.rs
@@ -23,6 +23,8 @@
     KeyedTwice(String),
     /// A job that must not be repeated ran again.
     UnsafeTwice(u64),
+    /// A job that must not be repeated ran, and its client was told that trying again is harmless.
+    RefusedAfterRun(u64),
     /// Peers ran something that no client sent.
     Unasked(u64),
 }
@@ -35,6 +37,9 @@
             Violation::Foreign(id) => write!(f, "{id:016x} was served with what no peer made for it"),
             Violation::KeyedTwice(key) => write!(f, "the keyed job {key} ran twice"),
             Violation::UnsafeTwice(id) => write!(f, "{id:016x} must not run twice and did"),
+            Violation::RefusedAfterRun(id) => {
+                write!(f, "{id:016x} must not run twice and was refused though it had run")
+            }
             Violation::Unasked(id) => write!(f, "{id:016x} was run and never sent"),
         }
     }
@@ -93,13 +98,13 @@
     let mut violations = Vec::new();
     let mut sent: HashMap<u64, &JobRecord> = HashMap::new();
     let excused = |one: &Try| outages.iter().any(|o| one.sent < o.until && one.ended >= o.from);
+    let ran: HashSet<u64> = runs.iter().map(|run| run.id).collect();
     let (mut asked, mut earned) = (0.0, 0.0);
     for job in jobs {
         let class = &classes[job.arrival.class];
         let worth = class.worth * job.arrival.work.as_secs_f64();
         asked += worth;
-        let aim = class.aim + job.arrival.work.mul_f64(class.stretch);
-        if job.served() && job.latency() <= aim {
+        if job.in_time(class) {
             earned += worth;
         }
         for one in &job.tries {
@@ -111,7 +116,12 @@
                         violations.push(Violation::Foreign(one.id));
                     }
                 }
-                Outcome::Refused => verdict.answers.refused += 1,
+                Outcome::Refused => {
+                    verdict.answers.refused += 1;
+                    if class.repeat == Repeat::Unsafe && ran.contains(&one.id) {
+                        violations.push(Violation::RefusedAfterRun(one.id));
+                    }
+                }
                 Outcome::Failed(_) => verdict.answers.failed += 1,
                 Outcome::Unreachable(_) => verdict.answers.unreachable += 1,
                 Outcome::Broken(_) if excused(one) => verdict.answers.lost += 1,
@@ -136,7 +146,8 @@
             continue;
         };
         *objects.entry(&run.object).or_default().entry(&run.peer).or_default() += 1;
-        let again = !begun.insert(run.id);
+        // Of a job, not of a try: its client may come back only where it was told that nothing ran.
+        let again = !begun.insert(job.arrival.job);
         match classes[job.arrival.class].repeat {
             Repeat::Unsafe if again => violations.push(Violation::UnsafeTwice(run.id)),
             Repeat::Keyed(_) => by_key.entry(run.key.as_deref().unwrap_or_default()).or_default().push(run),
@@ -195,6 +206,7 @@
             repeat,
             objects: 1,
             zipf: 0.0,
+            slots: 1,
         };
         let classes = vec![
             class("safe", Repeat::Safe),
@@ -209,6 +221,8 @@
                 class: n,
                 object: format!("o{n}"),
                 work: Duration::from_secs(1),
+                tenant: None,
+                hint: None,
                 salt: n as u64,
             },
             key: key(n),
@@ -237,7 +251,7 @@
     /// A check that can't fail is none: each rule, broken once, is named; the sound day names none.
     #[test]
     fn each_broken_rule_is_found_and_a_sound_day_has_none() {
-        let cases: [(Break, Option<Violation>); 12] = [
+        let cases: [(Break, Option<Violation>); 15] = [
             (|_, _| {}, None),
             (|jobs, _| jobs[0].tries[0].outcome = Outcome::Unanswered, Some(Violation::Unanswered(0))),
             (|jobs, _| jobs[0].tries[0].outcome = Outcome::Broken(String::new()), Some(Violation::Lost(0))),
@@ -264,6 +278,10 @@
                 None,
             ),
             (|_, runs| runs.push(runs[2].clone()), Some(Violation::UnsafeTwice(2))),
+            // Of the safe one any number may run, and be refused after it.
+            (|_, runs| runs.push(runs[0].clone()), None),
+            (|jobs, _| jobs[0].tries[0].outcome = Outcome::Refused, None),
+            (|jobs, _| jobs[2].tries[0].outcome = Outcome::Refused, Some(Violation::RefusedAfterRun(2))),
             (|_, runs| runs.push(Run { id: 9, ..runs[0].clone() }), Some(Violation::Unasked(9))),
         ];
         for (number, (spoil, expected)) in cases.into_iter().enumerate() {
--- a/crates/platform/src/arrivals.rs
+++ b/crates/platform/src/arrivals.rs
@@ -42,6 +42,17 @@
     pub objects: u64,
     /// How unevenly they are asked for: the exponent of a Zipf distribution.
     pub zipf: f64,
+    /// Slots that a job takes at a peer.
+    pub slots: usize,
+}
+
+/// One tenant as clients send for it.
+#[derive(Clone, Debug)]
+pub struct TenantLoad {
+    /// Its name.
+    pub name: String,
+    /// Its share of the jobs, against the others' shares.
+    pub share: f64,
 }
 
 /// A load: an open loop of independent arrivals.
@@ -53,6 +64,14 @@
     pub rate: f64,
     /// The classes.
     pub classes: Vec<ClassLoad>,
+    /// The tenants; jobs are nobody's where there are none.
+    pub tenants: Vec<TenantLoad>,
+    /// How far hints are off the work: the sigma of a log-normal factor; no hints if absent.
+    pub hints: Option<f64>,
+    /// The share of refused clients that wait as long as they are told.
+    pub heeds: f64,
+    /// A client that comes back says so.
+    pub marks_retries: bool,
     /// How often a client comes back after a refusal or a failure.
     pub retries: u32,
     /// How long it waits where nothing else is said.
@@ -82,6 +101,10 @@
     pub object: String,
     /// Its work at speed 1.
     pub work: Duration,
+    /// Its tenant, as an index.
+    pub tenant: Option<usize>,
+    /// What its client takes its work to be.
+    pub hint: Option<Duration>,
     /// Whence its ids are drawn.
     pub salt: u64,
 }
@@ -97,9 +120,11 @@
     gap: Exp<f64>,
     classes: Vec<ClassDraw>,
     names: Vec<String>,
+    tenants: Vec<f64>,
+    hints: Option<LogNormal<f64>>,
     time: Duration,
     job: u64,
-    streams: [Pcg64; 5],
+    streams: [Pcg64; 7],
 }
 
 impl Arrivals {
@@ -131,9 +156,26 @@
                 .map_err(|error| bad(&format!("{}.zipf", class.name), &error.to_string()))?;
             classes.push(ClassDraw { upto, work, object });
         }
+        let of_tenants: f64 = spec.tenants.iter().map(|tenant| tenant.share).sum();
+        if !spec.tenants.is_empty()
+            && (!(of_tenants.is_finite() && of_tenants > 0.0) || spec.tenants.iter().any(|t| t.share < 0.0))
+        {
+            return Err(bad("tenant", "shares must not be negative, nor all 0"));
+        }
+        let mut upto = 0.0;
+        let tenants = spec.tenants.iter().map(|tenant| {
+            upto += tenant.share / of_tenants;
+            upto
+        });
+        let tenants = tenants.collect();
+        if spec.hints.is_some_and(|sigma| !(sigma >= 0.0 && sigma.is_finite())) {
+            return Err(bad("hint_spread", "must not be negative"));
+        }
+        let hints = spec.hints.map(|sigma| LogNormal::new(0.0, sigma));
+        let hints = hints.transpose().map_err(|error| bad("hint_spread", &error.to_string()))?;
         let streams = std::array::from_fn(|stream| Pcg64::new(u128::from(spec.seed), stream as u128 + 1));
         let names = spec.classes.iter().map(|class| class.name.clone()).collect();
-        Ok(Arrivals { gap, classes, names, time: Duration::ZERO, job: 0, streams })
+        Ok(Arrivals { gap, classes, names, tenants, hints, time: Duration::ZERO, job: 0, streams })
     }
 }
 
@@ -141,7 +183,7 @@
     type Item = Arrival;
 
     fn next(&mut self) -> Option<Arrival> {
-        let [gaps, kinds, works, objects, salts] = &mut self.streams;
+        let [gaps, kinds, works, objects, salts, whose, hints] = &mut self.streams;
         self.time += Duration::from_secs_f64(self.gap.sample(gaps));
         let drawn: f64 = kinds.random();
         let class =
@@ -151,7 +193,11 @@
         let object = format!("{}-{}", self.names[class], draw.object.sample(objects) as u64);
         let job = self.job;
         self.job += 1;
-        Some(Arrival { at: self.time, job, class, object, work, salt: salts.next_u64() })
+        let drawn: f64 = whose.random();
+        let tenant = self.tenants.iter().position(|upto| drawn < *upto);
+        let tenant = tenant.or_else(|| self.tenants.len().checked_sub(1));
+        let hint = self.hints.map(|off| work.mul_f64(off.sample(hints).min(1e3)));
+        Some(Arrival { at: self.time, job, class, object, work, tenant, hint, salt: salts.next_u64() })
     }
 }
 
@@ -172,9 +218,21 @@
             repeat: Repeat::Safe,
             objects: 100,
             zipf: 1.0,
+            slots: 1,
         };
         let classes = vec![class("a", 3.0, 200), class("b", 1.0, 800)];
-        LoadSpec { seed: 7, rate: 50.0, classes, retries: 0, pause: Duration::ZERO }
+        let tenant = |name: &str, share| TenantLoad { name: name.to_string(), share };
+        LoadSpec {
+            seed: 7,
+            rate: 50.0,
+            classes,
+            tenants: vec![tenant("x", 4.0), tenant("y", 1.0)],
+            hints: Some(0.0),
+            heeds: 1.0,
+            marks_retries: true,
+            retries: 0,
+            pause: Duration::ZERO,
+        }
     }
 
     #[test]
@@ -188,6 +246,9 @@
         let mean = of_b.iter().sum::<f64>() / of_b.len() as f64;
         assert!((0.77..0.83).contains(&mean), "{mean}");
         let hot = drawn.iter().filter(|a| a.object == "a-1").count() as f64 / 15_000.0;
+        let of_y = drawn.iter().filter(|a| a.tenant == Some(1)).count() as f64 / 20_000.0;
+        assert!((0.19..0.21).contains(&of_y), "{of_y}");
+        assert!(drawn.iter().all(|a| a.hint == Some(a.work)), "exact where they are off by nothing");
         assert!((0.17..0.22).contains(&hot), "the first of 100 by Zipf has 1/H(100) = 0.19: {hot}");
     }
 
@@ -196,6 +257,8 @@
         let mut other = spec();
         other.classes[0].spread = 0.1;
         other.classes[0].zipf = 0.5;
+        other.tenants.clear();
+        other.hints = Some(0.3);
         let times = |spec: &LoadSpec| {
             Arrivals::new(spec).expect("a load").take(500).map(|a| (a.at, a.class)).collect::<Vec<_>>()
         };
@@ -215,5 +278,7 @@
         assert_eq!(with(|s| s.classes[0].share = -1.0).as_deref(), Some("share"));
         assert_eq!(with(|s| s.classes[1].spread = -1.0).as_deref(), Some("b.spread"));
         assert_eq!(with(|s| s.classes[1].zipf = -1.0).as_deref(), Some("b.zipf"));
+        assert_eq!(with(|s| s.tenants[0].share = -1.0).as_deref(), Some("tenant"));
+        assert_eq!(with(|s| s.hints = Some(-1.0)).as_deref(), Some("hint_spread"));
     }
 }
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -69,6 +69,11 @@
         self.tries.last().map_or(Duration::ZERO, |last| last.ended.saturating_sub(self.arrival.at))
     }
 
+    /// Whether it was served within its class's aim, which may grow with the job's own running time.
+    pub fn in_time(&self, class: &ClassLoad) -> bool {
+        self.served() && self.latency() <= class.aim + self.arrival.work.mul_f64(class.stretch)
+    }
+
     /// Whether it was served in the end.
     pub fn served(&self) -> bool {
         matches!(self.tries.last(), Some(Try { outcome: Outcome::Served(_), .. }))
@@ -199,18 +204,18 @@
                 }
                 let id = try_id(record.arrival.salt, number);
                 let to = targets[turn.fetch_add(1, Ordering::Relaxed) % targets.len()];
-                let request = request(to, class, &record, id, number, left);
+                let request = request(to, &spec, &record, id, number, left);
                 let sent = began.elapsed();
                 let (outcome, advice) = match timeout(left + SLACK, exchange(&http, request)).await {
                     Ok(heard) => heard,
                     Err(_) => (Outcome::Unanswered, None),
                 };
-                let over = matches!(outcome, Outcome::Served(_) | Outcome::Unanswered);
+                let over = !comes_back(class.repeat, &outcome);
                 record.tries.push(Try { id, sent, ended: began.elapsed(), outcome });
                 if over || number == spec.retries {
                     break;
                 }
-                sleep(advice.unwrap_or(spec.pause)).await;
+                sleep(advice.filter(|_| heeds(id, spec.heeds)).unwrap_or(spec.pause)).await;
             }
             record
         }
@@ -222,29 +227,55 @@
     salt.wrapping_add(u64::from(number).wrapping_mul(0x9e37_79b9_7f4a_7c15))
 }
 
+/// Whether a client asks again: after its own time never, and where a second run would do harm only after an answer
+/// that says that there was none, or without a connection.
+fn comes_back(repeat: Repeat, heard: &Outcome) -> bool {
+    match heard {
+        Outcome::Served(_) | Outcome::Unanswered => false,
+        Outcome::Refused | Outcome::Unreachable(_) => true,
+        Outcome::Failed(_) | Outcome::Broken(_) => repeat != Repeat::Unsafe,
+    }
+}
+
+/// Whether a client waits as long as it is told: so many of them do, and the same ones each time.
+fn heeds(id: u64, share: f64) -> bool {
+    ((id >> 11) as f64 / (1u64 << 53) as f64) < share
+}
+
 fn request(
     to: SocketAddr,
-    class: &ClassLoad,
+    spec: &LoadSpec,
     record: &JobRecord,
     id: u64,
     number: u32,
     left: Duration,
 ) -> Request<Full<Bytes>> {
-    let (name, object) = (&class.name, &record.arrival.object);
-    let work = record.arrival.work.as_micros();
+    let Arrival { class, object, work, tenant, hint, .. } = &record.arrival;
+    let class = &spec.classes[*class];
+    let (name, work) = (&class.name, work.as_micros());
     let mut builder = Request::post(format!("http://{to}/{name}/{object}"))
         .header("x-trace-id", format!("{id:016x}"))
         .header("x-qos", name.as_str())
-        .header("x-expires-in", format!("{}u", left.as_micros()))
-        .header("x-size-hint", work.to_string());
+        .header("x-expires-in", format!("{}u", left.as_micros()));
+    if let Some(hint) = hint {
+        builder = builder.header("x-size-hint", hint.as_micros().to_string());
+    }
+    if let Some(tenant) = tenant.and_then(|tenant| spec.tenants.get(tenant)) {
+        builder = builder.header("x-customer", tenant.name.as_str());
+    }
+    let mut body = format!("work_us={work}");
+    if class.slots != 1 {
+        builder = builder.header("x-props", format!("slots={}", class.slots));
+        body.push_str(&format!(" slots={}", class.slots));
+    }
     if let Some(key) = &record.key {
         builder = builder.header("idempotency-key", key.as_str());
     }
-    if number > 0 {
+    if number > 0 && spec.marks_retries {
         builder = builder.header("x-second-try", "1");
     }
     // Names of classes are checked where the load is read; one that is no path ends here as a broken try.
-    builder.body(Full::from(format!("work_us={work}"))).unwrap_or_default()
+    builder.body(Full::from(body)).unwrap_or_default()
 }
 
 async fn exchange(
@@ -282,3 +313,27 @@
     }
     text
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_client_asks_again_only_where_that_does_no_harm() {
+        let text = String::new;
+        let heard = [
+            Outcome::Served(text()),
+            Outcome::Unanswered,
+            Outcome::Refused,
+            Outcome::Unreachable(text()),
+            Outcome::Failed(500),
+            Outcome::Broken(text()),
+        ];
+        let again = |repeat| heard.iter().map(|heard| comes_back(repeat, heard)).collect::<Vec<_>>();
+        assert_eq!(again(Repeat::Safe), [false, false, true, true, true, true]);
+        assert_eq!(again(Repeat::Unsafe), [false, false, true, true, false, false]);
+        let heeding = (0..1_000u64).filter(|n| heeds(try_id(n << 54, 1), 0.25)).count();
+        assert!((200..300).contains(&heeding), "{heeding}");
+        assert!(!heeds(0, 0.0) && heeds(u64::MAX, 1.0));
+    }
+}
--- a/crates/platform/src/discovery.rs
+++ b/crates/platform/src/discovery.rs
@@ -71,6 +71,8 @@
     Up,
     /// 503 to every call; watches end so too.
     Failing,
+    /// Every call's connection is reset; watches end so too.
+    Resetting,
     /// Connections are accepted and hear nothing.
     Mute,
     /// An answer breaks off in its middle.
@@ -157,6 +159,13 @@
         lock(&self.shared.state).lateness = lateness;
     }
 
+    /// Is out of reach in this way for so long, and then answers again.
+    pub async fn out_for(&self, how: Health, lasts: Duration) {
+        self.health(how);
+        sleep(lasts).await;
+        self.health(Health::Up);
+    }
+
     /// Calls answered so far.
     pub fn calls(&self) -> u64 {
         lock(&self.shared.state).calls
@@ -258,6 +267,7 @@
         let written = match shared.health() {
             Health::Up => wire.answer(200, "", &body).await,
             Health::Failing => wire.answer(503, "", "").await,
+            Health::Resetting => return wire.reset(),
             Health::Mute => return wire.closed().await,
             Health::Breaking => {
                 let half = &body[..body.len() / 2];
--- a/crates/platform/tests/stories.rs
+++ b/crates/platform/tests/stories.rs
@@ -2,6 +2,8 @@
 //! on it.
 #![allow(missing_docs)]
 
+use platform::arrivals::{Arrivals, ClassLoad, LoadSpec, Repeat, TenantLoad};
+use platform::client::{Clients, Outcome};
 use platform::discovery::{Discovery, Health};
 use platform::front::Front;
 use platform::peer::{Act, Peer, PeerSpec, ProbeAct, ProbeSpec};
@@ -236,7 +238,7 @@
         tokio::io::AsyncWriteExt::shutdown(wire.socket()).await.expect("closed");
         wire.read().await.map(|answer| answer.text())
     };
-    for health in [Health::Mute, Health::Breaking] {
+    for health in [Health::Mute, Health::Breaking, Health::Resetting] {
         discovery.health(health);
         assert_eq!(call("/registry/instances").await, None, "{health:?}");
     }
@@ -425,3 +427,70 @@
     let away = quiet.send(2, "", "").await.read().await.expect("an answer");
     assert_eq!(away.header("endpoint-load-metrics"), None);
 }
+
+/// Whose job it is, how much work it may be and what it takes: as clients say it. Refused, they come back once.
+#[rstest]
+#[case::all_that_may_be_said(Some("x-customer: t"), 2)]
+#[case::as_little_as_may_be(None, 1)]
+#[timeout(HANG)]
+#[tokio::test]
+async fn clients_say_what_their_load_has_and_come_back_once(
+    #[case] tenant: Option<&str>,
+    #[case] slots: usize,
+) {
+    let said = tenant.is_some();
+    let class = ClassLoad {
+        name: "c".to_string(),
+        share: 1.0,
+        worth: 1.0,
+        work: Duration::from_millis(3),
+        spread: 0.0,
+        aim: Duration::from_secs(60),
+        stretch: 0.0,
+        deadline: Duration::from_secs(60),
+        repeat: Repeat::Unsafe,
+        objects: 1,
+        zipf: 0.0,
+        slots,
+    };
+    let tenants = said.then(|| TenantLoad { name: "t".to_string(), share: 1.0 });
+    let spec = LoadSpec {
+        seed: 1,
+        rate: 1000.0,
+        classes: vec![class],
+        tenants: tenants.into_iter().collect(),
+        hints: said.then_some(0.0),
+        heeds: 0.0,
+        marks_retries: said,
+        retries: 1,
+        pause: Duration::ZERO,
+    };
+    let scheduler = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    // So long that there is one job and no second.
+    let first_only = Arrivals::new(&spec).expect("a load").nth(1).expect("endless").at;
+    let clients = Clients::new(spec, vec![scheduler.local_addr().expect("bound")]).expect("a load");
+    let (_stop, stopped) = tokio::sync::watch::channel(false);
+    let serving = async {
+        let (stream, _) = scheduler.accept().await.expect("a client");
+        let mut wire = Wire::new(stream);
+        let heard = wire.read().await.expect("a job");
+        // Not heeded: a story that waited so long would hang.
+        wire.answer(503, "retry-after: 3000\r\n", "").await.expect("answered");
+        (heard, wire.read().await.expect("its second try"), wire)
+    };
+    let jobs = clients.run(tokio::time::Instant::now(), first_only, stopped, |_| {});
+    let loading = tokio::spawn(jobs);
+    let (first, second, mut wire) = serving.await;
+    let headers = ["x-customer", "x-size-hint", "x-props", "idempotency-key", "x-second-try"];
+    let told = |message: &Message| headers.map(|name| message.header(name).map(str::to_string));
+    let text = |text: &str| said.then(|| text.to_string());
+    let (hint, props) = (text("3000"), text("slots=2"));
+    assert_eq!(told(&first), [text("t"), hint.clone(), props.clone(), None, None]);
+    assert_eq!(told(&second), [text("t"), hint, props, None, text("1")]);
+    assert_eq!(first.text(), if said { "work_us=3000 slots=2" } else { "work_us=3000" });
+    wire.answer(500, "", "").await.expect("answered");
+    drop((wire, scheduler));
+    let record = loading.await.expect("it ends").expect("a load");
+    let ends: Vec<_> = record.jobs[0].tries.iter().map(|one| one.outcome.clone()).collect();
+    assert_eq!(ends, [Outcome::Refused, Outcome::Failed(500)]);
+}
--- a/crates/vetchkit/src/cli.rs
+++ b/crates/vetchkit/src/cli.rs
@@ -21,6 +21,7 @@
   vetchkit demo                                   a whole platform under load for 20 s, and what came of it
   vetchkit demo --kill 2                          the same while two schedulers are killed
   vetchkit demo --upgrade 2 --drain 1             the same while two are replaced and one is drained
+  vetchkit demo scans                             the same on a second deployment, whose peers are probed
   vetchkit plan default > plan.toml               the plan of that platform, to change
   vetchkit up plan.toml                           the platform alone, until Ctrl-C
   vetchkit load --to 127.0.0.1:8080 --rate 100    a load on addresses of yours
@@ -64,7 +65,7 @@
     /// Start a platform and its schedulers, and keep them until Ctrl-C
     #[command(after_help = "Example:\n  vetchkit up plan.toml --logs logs")]
     Up {
-        /// The plan; the built-in one where it is absent
+        /// The plan: a file, or the name of a built-in one; `demo` where it is absent
         plan: Option<PathBuf>,
         #[command(flatten)]
         staging: Staging,
@@ -97,7 +98,7 @@
     /// Start a platform, send it its load, and hold what clients heard against what peers ran
     #[command(after_help = "Example:\n  vetchkit demo --for 60s --kill 2 --logs logs")]
     Demo {
-        /// The plan; the built-in one where it is absent
+        /// The plan: a file, or the name of a built-in one (demo, scans); `demo` where it is absent
         plan: Option<PathBuf>,
         /// Kill so many schedulers by SIGKILL along the load; each is back after 2 s
         #[arg(long, default_value_t = 0)]
@@ -165,8 +166,13 @@
 
 #[derive(Debug, Subcommand)]
 enum What {
-    /// The built-in plan
+    /// The plan of the demonstration
     Default,
+    /// A built-in plan by its name: demo, or scans
+    Show {
+        /// Its name
+        name: String,
+    },
     /// The JSON Schema of the format, for editors
     Schema,
     /// Read plans and tell every fault
@@ -229,6 +235,12 @@
         }
         Command::Relay { listen, to } => relay::serve(listen, to).await,
         Command::Plan { what: What::Default } => print(plan::DEMO),
+        Command::Plan { what: What::Show { name } } => {
+            let known = plan::BUILT_IN.iter().find(|(known, _)| *known == name);
+            let names = plan::BUILT_IN.map(|(known, _)| known).join(", ");
+            let missing = || Failure::BadInput(format!("{name}: no plan of this name; one of {names}"));
+            print(known.ok_or_else(missing)?.1)
+        }
         Command::Plan { what: What::Schema } => print(&to_json(&plan::schema())?),
         Command::Plan { what: What::Check { files } } => {
             let faults = files.iter().filter_map(|file| Plan::read(Some(file)).err());
@@ -343,7 +355,7 @@
         }
     };
     let record = record.map_err(|error| Failure::BadInput(error.to_string()))?;
-    let report = Report::of(&plan.load_spec().classes, &record, None, &[]);
+    let report = Report::of(&plan.load_spec(), &record, None, &[]);
     finish(&report, json, Vec::new())
 }
 
@@ -355,11 +367,17 @@
     let mut stage = interrupt.unless_asked(setting).await?;
     let clients = Clients::new(plan.load_spec(), vec![stage.front.address()]);
     let clients = clients.map_err(|error| Failure::BadInput(error.to_string()))?;
-    let ran = runner::run(&mut stage, clients, plan.load.duration.duration(), troubles, &interrupt).await;
+    let ran =
+        runner::run(&mut stage, clients, plan.load.duration.duration(), troubles, &plan.trouble, &interrupt)
+            .await;
     let (record, outages) = ran?;
-    let peers = PeerSide { runs: stage.runs.all(), counts: stage.runs.counts() };
+    let peers = PeerSide {
+        runs: stage.runs.all(),
+        counts: stage.runs.counts(),
+        probes: plan.probes.as_ref().map(|_| stage.runs.probes()),
+    };
     let bad = stage.end().await;
-    let report = Report::of(&plan.load_spec().classes, &record, Some(&peers), &outages);
+    let report = Report::of(&plan.load_spec(), &record, Some(&peers), &outages);
     finish(&report, json, bad)
 }
 
--- a/crates/vetchkit/src/plan.rs
+++ b/crates/vetchkit/src/plan.rs
@@ -2,8 +2,12 @@
 //! It must never start anything.
 
 use crate::Failure;
-use platform::arrivals::{ClassLoad, LoadSpec, Repeat};
-use platform::peer::PeerSpec;
+use platform::arrivals::{ClassLoad, LoadSpec, Repeat, TenantLoad};
+use platform::discovery::Health;
+use platform::peer::{PeerSpec, ProbeSpec};
+use platform::queue::Order;
+use platform::stats::{Field, StatsSpec};
+use platform::store::Store;
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use std::path::{Path, PathBuf};
@@ -16,6 +20,9 @@
 /// The plan of the demonstration.
 pub const DEMO: &str = include_str!("../plans/demo.toml");
 
+/// The built-in plans by their names; a file of such a name is meant where it is written as `./demo`.
+pub const BUILT_IN: [(&str, &str); 2] = [("demo", DEMO), ("scans", include_str!("../plans/scans.toml"))];
+
 /// A platform on one machine.
 #[derive(Clone, Debug, Deserialize, Serialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
@@ -27,8 +34,20 @@
     pub schedulers: Schedulers,
     /// What every scheduler is told, in the daemon's own format; name, addresses, number and zone are filled in.
     pub daemon: File,
+    /// How peers tell of their load; they tell nothing where it is absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub stats: Option<Stats>,
+    /// How peers answer probes; they answer none where it is absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub probes: Option<Probes>,
+    /// What jobs need before they can run; nothing where it is absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub setup: Option<Setup>,
     /// The peers.
     pub peers: Vec<Peers>,
+    /// Troubles on the way.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub trouble: Vec<Trouble>,
     /// The load.
     pub load: Load,
 }
@@ -64,6 +83,107 @@
     Span::s(24)
 }
 
+/// A field of a load report.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize, JsonSchema)]
+#[serde(rename_all = "lowercase")]
+pub enum StatsField {
+    /// Requests that a peer holds.
+    Inflight,
+    /// Requests that wait at it.
+    Queue,
+    /// Its free slots.
+    X0,
+    /// The share of its slots that is taken.
+    Util,
+}
+
+/// How peers tell of their load.
+#[derive(Clone, Debug, Deserialize, Serialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Stats {
+    /// The fields of a report: inflight, queue, x0 and util.
+    #[schemars(length(min = 1))]
+    pub fields: Vec<StatsField>,
+    /// A report is looked up anew so often.
+    #[serde(default)]
+    pub every: Span,
+    /// It tells what was true so long ago.
+    #[serde(default)]
+    pub late: Span,
+    /// What ends an attempt carries a report, too.
+    #[serde(default)]
+    pub in_answers: bool,
+}
+
+/// How peers answer probes.
+#[derive(Clone, Debug, Deserialize, Serialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Probes {
+    /// A probe waits for a slot as a request does.
+    #[serde(default)]
+    pub deep: bool,
+    /// Its work at speed 1.
+    #[serde(default)]
+    pub work: Span,
+}
+
+/// What jobs need before they can run, for each object: peers keep it for a while, or fetch it from one store.
+#[derive(Clone, Debug, Deserialize, Serialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Setup {
+    /// How long a fetch takes.
+    pub fetch: Span,
+    /// How many fetch from the store at once.
+    #[schemars(range(min = 1))]
+    pub room: usize,
+    /// How many objects' a peer keeps.
+    #[schemars(range(min = 1))]
+    pub kept: usize,
+}
+
+/// What goes wrong at a set time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize, JsonSchema)]
+#[serde(rename_all = "kebab-case")]
+pub enum What {
+    /// Discovery answers 503 to every call.
+    ListRefuses,
+    /// Discovery resets every call.
+    ListResets,
+    /// Peers tell of their load later than they do otherwise.
+    StatsLate,
+    /// A peer dies, and comes back cold.
+    PeerDies,
+}
+
+/// A trouble.
+#[derive(Clone, Debug, Deserialize, Serialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Trouble {
+    /// list-refuses, list-resets, stats-late or peer-dies.
+    pub what: What,
+    /// When it begins, from the start of the load.
+    pub at: Span,
+    /// How long it lasts.
+    pub lasts: Span,
+    /// Of stats-late: how late they tell.
+    #[serde(default)]
+    pub late: Span,
+    /// Of peer-dies: which, by its name.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub peer: Option<String>,
+}
+
+impl What {
+    /// How discovery answers meanwhile, where it is the list that is out of reach.
+    pub fn health(self) -> Option<Health> {
+        match self {
+            What::ListRefuses => Some(Health::Failing),
+            What::ListResets => Some(Health::Resetting),
+            What::StatsLate | What::PeerDies => None,
+        }
+    }
+}
+
 /// Peers of one make.
 #[derive(Clone, Debug, Deserialize, Serialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
@@ -117,10 +237,47 @@
     /// How long it waits first, where it is told nothing else.
     #[serde(default)]
     pub pause: Span,
+    /// The share of refused clients that wait as long as they are told instead.
+    #[serde(default = "one")]
+    #[schemars(range(min = 0.0, max = 1.0))]
+    pub heeds: f64,
+    /// A client that comes back says so.
+    #[serde(default = "yes")]
+    pub marks_retries: bool,
+    /// Clients give a hint of the work.
+    #[serde(default = "yes")]
+    pub hints: bool,
+    /// How far hints are off: the sigma of a log-normal factor.
+    #[serde(default)]
+    #[schemars(range(min = 0.0, max = 5.0))]
+    pub hint_spread: f64,
+    /// The tenants, of daemon.tenant; jobs are nobody's where there are none.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub tenant: Vec<LoadTenant>,
     /// What is sent of each class of daemon.class.
     pub class: Vec<LoadClass>,
 }
 
+fn yes() -> bool {
+    true
+}
+
+fn slots() -> usize {
+    1
+}
+
+/// What is sent for a tenant.
+#[derive(Clone, Debug, Deserialize, Serialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct LoadTenant {
+    /// Its name in daemon.tenant.
+    pub name: String,
+    /// Its share of the jobs, against the others'.
+    #[serde(default = "one")]
+    #[schemars(range(min = 0.0))]
+    pub share: f64,
+}
+
 fn objects() -> u64 {
     100
 }
@@ -149,6 +306,33 @@
     #[serde(default)]
     #[schemars(range(min = 0.0, max = 10.0))]
     pub zipf: f64,
+    /// Slots that a job takes at a peer.
+    #[serde(default = "slots")]
+    #[schemars(range(min = 1))]
+    pub slots: usize,
+}
+
+impl Peers {
+    fn names(&self) -> impl Iterator<Item = String> + '_ {
+        (0..self.count).map(|number| format!("{}-{number}", self.prefix))
+    }
+}
+
+impl Stats {
+    fn spec(&self) -> StatsSpec {
+        let field = |field: &StatsField| match field {
+            StatsField::Inflight => Field::Inflight,
+            StatsField::Queue => Field::Queue,
+            StatsField::X0 => Field::X0,
+            StatsField::Util => Field::Util,
+        };
+        StatsSpec {
+            fields: self.fields.iter().map(field).collect(),
+            every: self.every.duration(),
+            late: self.late.duration(),
+            in_answers: self.in_answers,
+        }
+    }
 }
 
 /// The JSON Schema of the format.
@@ -157,9 +341,12 @@
 }
 
 impl Plan {
-    /// Reads a plan; every fault at once.
+    /// Reads a plan, from its file or by its name if it is built in; every fault at once.
     pub fn read(path: Option<&Path>) -> Result<Plan, Failure> {
         let Some(path) = path else { return Plan::parse("the built-in plan", DEMO) };
+        if let Some((name, text)) = BUILT_IN.iter().find(|(name, _)| path == Path::new(name)) {
+            return Plan::parse(&format!("the built-in plan {name}"), text);
+        }
         let source = path.to_string_lossy();
         let text =
             std::fs::read_to_string(path).map_err(|error| Failure::BadInput(format!("{source}: {error}")))?;
@@ -210,6 +397,27 @@
                 ));
             }
         }
+        let tenants: Vec<String> = plan.daemon.tenant.iter().map(|tenant| tenant.name.clone()).collect();
+        for (at, tenant) in plan.load.tenant.iter().enumerate() {
+            if !tenants.contains(&tenant.name) {
+                found.push(text.fault(
+                    &format!("load.tenant[{at}].name"),
+                    "not in daemon.tenant",
+                    one_of(&tenants),
+                ));
+            }
+        }
+        let names: Vec<String> = plan.peers.iter().flat_map(Peers::names).collect();
+        for (at, trouble) in plan.trouble.iter().enumerate() {
+            let named = trouble.peer.as_ref().is_some_and(|peer| names.contains(peer));
+            if trouble.what == What::PeerDies && !named {
+                found.push(text.fault(
+                    &format!("trouble[{at}].peer"),
+                    "no such peer",
+                    "a prefix of [[peers]] and a number, such as prefix-0",
+                ));
+            }
+        }
         if plan.peers.is_empty() {
             found.push(text.fault(
                 "peers",
@@ -237,8 +445,10 @@
     pub fn peer_specs(&self) -> Vec<PeerSpec> {
         let zones = &self.daemon.fleet.zones;
         let window = self.daemon.class.iter().filter_map(|class| class.window).max().unwrap_or(Span::s(15));
-        let all = self.peers.iter().flat_map(|peers| (0..peers.count).map(move |number| (peers, number)));
-        let spec = |(at, (peers, number)): (usize, (&Peers, usize))| PeerSpec {
+        let all = self.peers.iter().flat_map(|peers| peers.names().map(move |name| (peers, name)));
+        let setup = self.setup.as_ref();
+        let setup = setup.map(|setup| (Store::new(setup.room, setup.fetch.duration()), setup.kept));
+        let spec = |(at, (peers, name)): (usize, (&Peers, String))| PeerSpec {
             zone: peers.zone.clone().unwrap_or_else(|| zones[at % zones.len()].clone()),
             kind: peers.kind.clone(),
             weight: peers.weight,
@@ -251,7 +461,18 @@
             progress: self.daemon.fleet.progress.duration(),
             idle: self.daemon.fleet.conn_idle.duration(),
             window: window.duration(),
-            ..PeerSpec::new(&format!("{}-{number}", peers.prefix))
+            order: match self.daemon.fleet.queue_order {
+                // Of priorities the stand-ins know nothing; they serve in order.
+                file::QueueOrder::Fifo | file::QueueOrder::Priority => Order::Fifo,
+                file::QueueOrder::Backfill => Order::Backfill,
+            },
+            stats: self.stats.as_ref().map(Stats::spec),
+            probes: self
+                .probes
+                .as_ref()
+                .map(|probes| ProbeSpec { deep: probes.deep, work: probes.work.duration() }),
+            setup: setup.clone(),
+            ..PeerSpec::new(&name)
         };
         all.enumerate().map(spec).collect()
     }
@@ -276,12 +497,22 @@
                 },
                 objects: load.objects,
                 zipf: load.zipf,
+                slots: load.slots,
             })
         };
         LoadSpec {
             seed: self.seed,
             rate: self.load.rate,
             classes: self.load.class.iter().filter_map(class).collect(),
+            tenants: self
+                .load
+                .tenant
+                .iter()
+                .map(|tenant| TenantLoad { name: tenant.name.clone(), share: tenant.share })
+                .collect(),
+            hints: self.load.hints.then_some(self.load.hint_spread),
+            heeds: self.load.heeds,
+            marks_retries: self.load.marks_retries,
             retries: self.load.retries,
             pause: self.load.pause.duration(),
         }
--- a/crates/vetchkit/src/report.rs
+++ b/crates/vetchkit/src/report.rs
@@ -4,7 +4,7 @@
 use comfy_table::{presets, Table};
 use hdrhistogram::Histogram;
 use platform::account::{judge, Answers, Outage};
-use platform::arrivals::ClassLoad;
+use platform::arrivals::{ClassLoad, LoadSpec};
 use platform::client::{JobRecord, LoadRecord, Outcome};
 use platform::runs::Run;
 use serde::Serialize;
@@ -35,6 +35,19 @@
     pub max_ms: f64,
 }
 
+/// One tenant's figures.
+#[derive(Debug, Serialize)]
+pub struct TenantFigures {
+    /// Its name.
+    pub tenant: String,
+    /// Jobs.
+    pub jobs: u64,
+    /// Jobs served in the end.
+    pub served: u64,
+    /// Of those, in time.
+    pub in_time: u64,
+}
+
 /// See the head of this file.
 #[derive(Debug, Serialize)]
 pub struct Report {
@@ -55,8 +68,14 @@
     pub affinity: Option<f64>,
     /// Worth answered in time over worth asked for.
     pub service: f64,
+    /// Probes that peers had, for each job.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub probes_per_job: Option<f64>,
     /// Figures of each class.
     pub classes: Vec<ClassFigures>,
+    /// Figures of each tenant.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub tenants: Vec<TenantFigures>,
     /// The longest time by which the load itself ran late.
     pub lag_ms: f64,
     /// Tries without an answer by what their connections said.
@@ -75,16 +94,14 @@
     pub runs: Vec<Run>,
     /// Attempts that arrived, and repeats dropped.
     pub counts: (u64, u64),
+    /// Probes that arrived; absent where peers answer none.
+    pub probes: Option<u64>,
 }
 
 impl Report {
     /// Reckons up a load; without peers of ours, from the clients' side alone.
-    pub fn of(
-        classes: &[ClassLoad],
-        record: &LoadRecord,
-        peers: Option<&PeerSide>,
-        outages: &[Outage],
-    ) -> Report {
+    pub fn of(spec: &LoadSpec, record: &LoadRecord, peers: Option<&PeerSide>, outages: &[Outage]) -> Report {
+        let classes = &spec.classes;
         let verdict = judge(classes, &record.jobs, peers.map(|peers| peers.runs.as_slice()), outages);
         let jobs = record.jobs.len() as u64;
         let tries = record.jobs.iter().map(|job| job.tries.len() as u64).sum();
@@ -102,7 +119,16 @@
             repeats_dropped: peers.map(|peers| peers.counts.1),
             affinity: peers.map(|_| verdict.affinity),
             service: verdict.service,
+            probes_per_job: peers
+                .and_then(|peers| peers.probes)
+                .map(|probes| probes as f64 / jobs.max(1) as f64),
             classes: classes.iter().enumerate().map(|(at, class)| figures(class, at, &record.jobs)).collect(),
+            tenants: spec
+                .tenants
+                .iter()
+                .enumerate()
+                .map(|(at, one)| tenant(&one.name, at, classes, &record.jobs))
+                .collect(),
             lag_ms: ms(record.lag),
             causes,
             violations: verdict.violations.iter().map(ToString::to_string).collect(),
@@ -153,6 +179,9 @@
         if let Some(affinity) = self.affinity {
             row("affinity", format!("{affinity:.3} of an object's jobs at its first peer"));
         }
+        if let Some(probes) = self.probes_per_job {
+            row("probes a job", format!("{probes:.3}"));
+        }
         row("load ran late by", format!("{:.1} ms at most", self.lag_ms));
         let mut classes = Table::new();
         classes.load_style(presets::UTF8_BORDERS_ONLY);
@@ -166,6 +195,16 @@
             classes.add_row(cells);
         }
         let mut text = format!("{all}\n{classes}\n");
+        if !self.tenants.is_empty() {
+            let mut tenants = Table::new();
+            tenants.load_style(presets::UTF8_BORDERS_ONLY);
+            tenants.set_header(vec!["tenant", "jobs", "served", "in time"]);
+            for one in &self.tenants {
+                let counts = [one.jobs, one.served, one.in_time].map(|count| count.to_string());
+                tenants.add_row([vec![one.tenant.clone()], counts.to_vec()].concat());
+            }
+            text.push_str(&format!("{tenants}\n"));
+        }
         for (cause, times) in &self.causes {
             text.push_str(&format!("{times} times: {cause}\n"));
         }
@@ -187,7 +226,7 @@
     let mut in_time = 0;
     for job in jobs.iter().filter(|job| job.served()) {
         times.saturating_record(job.latency().as_micros() as u64);
-        in_time += u64::from(job.latency() <= class.aim + job.arrival.work.mul_f64(class.stretch));
+        in_time += u64::from(job.in_time(class));
     }
     let at = |quantile: f64| ms(Duration::from_micros(times.value_at_quantile(quantile)));
     ClassFigures {
@@ -201,3 +240,14 @@
         max_ms: ms(Duration::from_micros(times.max())),
     }
 }
+
+fn tenant(name: &str, at: usize, classes: &[ClassLoad], jobs: &[JobRecord]) -> TenantFigures {
+    let jobs: Vec<&JobRecord> = jobs.iter().filter(|job| job.arrival.tenant == Some(at)).collect();
+    let count = |counts: &dyn Fn(&JobRecord) -> bool| jobs.iter().filter(|job| counts(job)).count() as u64;
+    TenantFigures {
+        tenant: name.to_string(),
+        jobs: jobs.len() as u64,
+        served: count(&JobRecord::served),
+        in_time: count(&|job| job.in_time(&classes[job.arrival.class])),
+    }
+}
--- a/crates/vetchkit/src/runner.rs
+++ b/crates/vetchkit/src/runner.rs
@@ -3,11 +3,14 @@
 //! Owns the bar or the lines of progress, and what Ctrl-C does: the first ends the load cleanly, the second ends the
 //! program at once. It must never decide whether the load went well.
 
+use crate::plan;
 use crate::stage::Stage;
 use crate::{machine, Failure};
 use indicatif::{ProgressBar, ProgressStyle};
 use platform::account::Outage;
 use platform::client::{Clients, LoadRecord, Standing};
+use platform::discovery::Discovery;
+use platform::peer::Peer;
 use std::future::Future;
 use std::io::IsTerminal;
 use std::time::Duration;
@@ -141,12 +144,48 @@
     }
 }
 
-/// Runs a load against a stage, with troubles at even distances along it, each at the next scheduler in turn.
+/// Everything of the plan that goes wrong at its time; none of it excuses anything of the schedulers.
+async fn planned(
+    troubles: &[plan::Trouble],
+    discovery: &Discovery,
+    peers: &[Peer],
+    began: Instant,
+) -> Result<(), Failure> {
+    let one = async |trouble: &plan::Trouble| {
+        sleep_until(began + trouble.at.duration()).await;
+        let lasts = trouble.lasts.duration();
+        match (trouble.what.health(), trouble.what) {
+            (Some(health), _) => discovery.out_for(health, lasts).await,
+            (None, plan::What::StatsLate) => {
+                peers.iter().for_each(|peer| peer.tell_late(trouble.late.duration()));
+                sleep(lasts).await;
+                for peer in peers {
+                    peer.tell_late(peer.spec().stats.as_ref().map_or(Duration::ZERO, |stats| stats.late));
+                }
+            }
+            (None, _) => {
+                let named = |peer: &&Peer| Some(&peer.spec().name) == trouble.peer.as_ref();
+                let Some(peer) = peers.iter().find(named) else { return Ok(()) };
+                peer.kill(true).await;
+                discovery.remove(peer);
+                sleep(lasts).await;
+                peer.restart().map_err(machine("a peer"))?;
+                discovery.up(peer);
+            }
+        }
+        Ok(())
+    };
+    futures_util::future::try_join_all(troubles.iter().map(one)).await.map(drop)
+}
+
+/// Runs a load against a stage, with troubles at even distances along it, each at the next scheduler in turn, and with
+/// those of the plan at their times.
 pub async fn run(
     stage: &mut Stage,
     clients: Clients,
     duration: Duration,
     troubles: &[Trouble],
+    set: &[plan::Trouble],
     interrupt: &Interrupt,
 ) -> Result<(LoadRecord, Vec<Outage>), Failure> {
     let mut progress = Progress::new(duration);
@@ -154,16 +193,17 @@
     let offset = began.duration_since(stage.began);
     let load = clients.run(began, duration, interrupt.subscribe(), move |standing| progress.show(standing));
     let mut outages = Vec::new();
+    let Stage { schedulers, peers, discovery, front, .. } = &mut *stage;
     let met = async {
         for (number, trouble) in troubles.iter().enumerate() {
             sleep_until(began + duration.mul_f64((number + 1) as f64 / (troubles.len() + 1) as f64)).await;
-            let victim = number % stage.schedulers.len();
-            let scheduler = &mut stage.schedulers[victim];
+            let victim = number % schedulers.len();
+            let scheduler = &mut schedulers[victim];
             match trouble {
                 Trouble::Kill => {
                     let from = began.elapsed();
                     scheduler.kill().await;
-                    let noticed = from + stage.front.notice() + NOTICE_SLACK;
+                    let noticed = from + front.notice() + NOTICE_SLACK;
                     outages.push(Outage { from, until: noticed });
                     sleep(DOWN).await;
                     scheduler.restart()?;
@@ -179,7 +219,7 @@
     tokio::pin!(load);
     let record = tokio::select! {
         record = &mut load => record,
-        troubled = met => {
+        troubled = async { tokio::try_join!(met, planned(set, discovery, peers, began)).map(drop) } => {
             troubled?;
             load.await
         }
--- a/crates/vetchkit/tests/commands.rs
+++ b/crates/vetchkit/tests/commands.rs
@@ -85,8 +85,10 @@
 
 #[test]
 fn a_faulty_plan_tells_every_fault_and_starts_nothing() {
-    let plan = run(&["plan", "default"]).stdout;
-    let plan = String::from_utf8(plan).expect("text");
+    let plan = run(&["plan", "show", "demo"]).stdout;
+    let other = run(&["plan", "show", "scans"]).stdout;
+    assert_eq!(run(&["plan", "check", "demo", "scans"]).status.code(), Some(0));
+    let (demo, other) = (String::from_utf8(plan).expect("text"), String::from_utf8(other).expect("text"));
     let cases = [
         (
             "rate = 63.0",
@@ -104,10 +106,18 @@
             &["load.class[1].name: not in daemon.class"],
         ),
         ("window = \"15s\"", "", &["class[1].window: missing"]),
+        (
+            "name = \"museum\"\nshare",
+            "name = \"museums\"\nshare",
+            &["load.tenant[2].name: not in daemon.tenant"],
+        ),
+        ("peer = \"flatbed-1\"", "peer = \"flatbed-3\"", &["trouble[1].peer: no such peer"]),
+        ("\"inflight\", \"x0\"", "\"inflight\", \"x1\"", &["stats.fields"]),
         ("[daemon.limits]", "[daemon.limitz]", &["daemon.limitz: unknown key; did you mean \"limits\"?"]),
     ];
     for (number, (old, new, expected)) in cases.iter().enumerate() {
         let path = format!("{}/plan-{}-{number}.toml", env!("CARGO_TARGET_TMPDIR"), std::process::id());
+        let plan = if demo.contains(old) { &demo } else { &other };
         assert!(plan.contains(old), "{old}");
         std::fs::write(&path, plan.replacen(old, new, 1)).expect("written");
         let output = run(&["demo", &path, "--daemon", "/nowhere"]);
