Pass over a peer that answers with errors again and again

With debug lines one peer, s-, ended 74 of its 162 attempts with status=Error, mostly within 20 ms; all others together 6. Restarts and the new configurations were ruled out: the errors run from the first second to that peer's end.

Cause: in `judge` an error lowers the bound learned from refusals and does nothing else; without a refusal that bound is infinite, and 0.7 of it as well. A peer that fails fast has little out, so the bound on own load takes it for idle and gives it the most.

Change: a second error in a row shuts the peer out for a while as a second break does, doubling; a job served in between halves what is held against it in place of wiping it out, since a peer that fails every second job serves in between. Half of the peers at most are passed over as before, so that errors that are the jobs' own shut nobody out.

Test: a_peer_that_answers_with_errors_again_and_again_is_passed_over, seen to fail before (it fails each job).

--- a/crates/silverproxy/src/policy.rs
+++ b/crates/silverproxy/src/policy.rs
@@ -854,10 +854,9 @@
         actions: &mut Vec<Action>,
     ) {
         let Some(&at) = self.index.get(&worker) else { return };
-        let Some(place) = self.workers[at].out.iter().position(|o| o.0 == id && o.1 == attempt.0) else {
-            return;
-        };
-        self.workers[at].out.swap_remove(place);
+        let out = &mut self.workers[at].out;
+        let Some(place) = out.iter().position(|o| (o.0, o.1) == (id, attempt.0)) else { return };
+        out.swap_remove(place);
         self.workers[at].started.retain(|s| s.attempt != (id, attempt.0));
         self.judge(now, at, status, latency);
         let broke = matches!(status, Status::ConnectFailed | Status::Reset | Status::Silent);
@@ -880,15 +879,17 @@
         self.place(now, id, actions);
     }
 
-    /// What an outcome says of the worker's room and health.
+    /// What an outcome says of the worker's room and health; to serve now and then heals it by halves.
     fn judge(&mut self, now: Micros, at: usize, status: Status, latency: Micros) {
         let worker = &mut self.workers[at];
+        let left = if matches!(status, Status::Timeout | Status::Error) { 0.7 } else { 1.0 };
+        worker.bound = (worker.bound * left).max(1.0);
         match status {
             Status::Ok => {
                 self.budget = (self.budget + REPEAT_BUDGET.0).min(REPEAT_BUDGET.1);
-                worker.failures = 0;
+                worker.failures /= 2;
                 worker.bound += 1.0;
-                worker.ejected_until = 0;
+                worker.ejected_until *= Micros::from(worker.failures > 0);
             }
             Status::Full => {
                 worker.bound = worker.own_slots().max(1.0);
@@ -898,15 +899,14 @@
             Status::ConnectFailed if latency < self.settings.limits.dial_timeout / 2 => {
                 worker.full_until = now + TABLE_FULL;
             }
-            // One break or silence may be its connection's fault, or its request's; a second in a row is not.
-            Status::Reset | Status::Silent if worker.failures == 0 => worker.failures = 1,
-            Status::ConnectFailed | Status::Reset | Status::Silent => {
+            // One break, silence or error may be its connection's fault, or its request's; a second is not.
+            Status::Reset | Status::Silent | Status::Error if worker.failures == 0 => worker.failures = 1,
+            Status::ConnectFailed | Status::Reset | Status::Silent | Status::Error => {
                 worker.ejected_until = now + (EJECT.0 << worker.failures.min(8)).min(EJECT.1);
                 worker.failures += 1;
             }
-            Status::Timeout | Status::Error => worker.bound = (worker.bound * 0.7).max(1.0),
             Status::Invalid => worker.failures = 0,
-            Status::Cancelled | Status::Moot => {}
+            Status::Timeout | Status::Cancelled | Status::Moot => {}
         }
     }
 
--- a/crates/silverproxy/tests/load.rs
+++ b/crates/silverproxy/tests/load.rs
@@ -94,3 +94,35 @@
     assert_ne!(first, second, "own load is spread");
     assert_eq!(sent(&d.event(outcome(2, 0, second, Status::Reset))), first);
 }
+
+/// A peer that answers quickly with errors looks idle, and would be sent more than any other. It is passed over, for longer each
+/// time, also when it serves every second job; one error in fifty, or errors everywhere, shut nobody out.
+#[test]
+fn a_peer_that_answers_with_errors_again_and_again_is_passed_over() {
+    let share_of_bad = |fails: &dyn Fn(WorkerId, u64) -> bool| {
+        let mut d = Driver::with_fleet(Settings { report_via: ReportVia::Never, ..settings() }, 6);
+        let (mut bad, mut all) = (0, 0);
+        for id in 1..=1200 {
+            d.now += 20 * MS;
+            let worker = sent(&d.request(id, UNSAFE, &format!("key-{id}")));
+            all += 1;
+            bad += u64::from(worker == WorkerId(3));
+            let status = if fails(worker, id) { Status::Error } else { Status::Ok };
+            d.event(outcome(id, 0, worker, status));
+        }
+        100 * bad / all
+    };
+    assert!(share_of_bad(&|_, _| false) >= 10, "a sixth of the jobs, as it is well");
+    assert!(share_of_bad(&|worker, _| worker == WorkerId(3)) <= 2, "it fails each job");
+    assert!(
+        share_of_bad(&|worker, id| worker == WorkerId(3) && mix(id) % 2 == 0) <= 6,
+        "it fails every second one"
+    );
+    assert!(share_of_bad(&|worker, id| worker == WorkerId(3) && id % 50 == 0) >= 10, "it fails now and then");
+    assert!(share_of_bad(&|_, _| true) >= 10, "nobody is better");
+}
+
+/// Spreads small numbers; seeded by nothing else.
+fn mix(n: u64) -> u64 {
+    (n.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 29) ^ n.wrapping_mul(0xbf58_476d_1ce4_e5b9) >> 33
+}
