Give each side that the daemon faces a room of its own

Some 28 files lay side by side in one folder, so that nobody could see from outside which of them face clients, which peers and which operators.

Files move, and no line of what they do changes: clients/ (front, connections), peers/ (upstream as mod.rs, load), list/ (discovery, listing, ask), operators/ (admin, lifecycle, life), and kin joins upgrade/. Each room's mod.rs tells what it owns and must never do. The old module paths are not kept as re-exports: two names for one thing would make the rooms decoration.

All tests of the workspace pass, with nothing but paths changed in them.

--- a/crates/vetchbridge/src/front.rs
+++ b/crates/vetchbridge/src/clients/front.rs
@@ -4,15 +4,17 @@
 //! it, and bounds the memory that bodies take. It must never hold a request back, answer for the module, or
 //! pass on a request whose framing or meaning is in doubt.
 
-use crate::admin;
-use crate::connections::{ClientConnection, ClientConnections, Elsewhere, Place, Watched, HEAD_LIMIT};
+use crate::clients::connections::{
+    ClientConnection, ClientConnections, Elsewhere, Place, Watched, HEAD_LIMIT,
+};
 use crate::engine::Engine;
-use crate::kin::Kin;
-use crate::life::Life;
+use crate::operators::admin;
+use crate::operators::life::Life;
+use crate::peers::{request_id, Callback, Parcel, UpstreamGroup};
 use crate::request::{submit, Answer, Job};
 use crate::snapshot::Current;
+use crate::upgrade::kin::Kin;
 use crate::upgrade::words::Word;
-use crate::upstream::{request_id, Callback, Parcel, UpstreamGroup};
 use axum::body::{to_bytes, Body, HttpBody};
 use axum::extract::{Extension, Request as HttpRequest, State};
 use axum::http::header::{CONNECTION, HOST, RETRY_AFTER};
--- a/crates/vetchbridge/src/config/mod.rs
+++ b/crates/vetchbridge/src/config/mod.rs
@@ -11,9 +11,9 @@
 
 pub use check::Fault;
 
-use crate::listing::{Instance, Lifecycle, Listing, Names, Source};
-use crate::load::{self, Reports};
+use crate::list::listing::{Instance, Lifecycle, Listing, Names, Source};
 use crate::logs::LogFormat;
+use crate::peers::load::{self, Reports};
 use crate::snapshot::Snapshot;
 use check::{hold, Text};
 use file::{File, Follow, FreeSlots, Group, Load, QueueOrder, Repeat, Weights};
--- a/crates/vetchbridge/src/config/platform.rs
+++ b/crates/vetchbridge/src/config/platform.rs
@@ -3,8 +3,8 @@
 //! Owns the names of its keys. It stays as the platform has it: a key of ours belongs into our own file.
 
 use super::{file, Config, ConfigError, Effective, Fault, Flags, Read, Siblings};
-use crate::listing::{Names, Source};
-use crate::load::{FreeSlots, Reports};
+use crate::list::listing::{Names, Source};
+use crate::peers::load::{FreeSlots, Reports};
 use crate::snapshot::Snapshot;
 use serde::de::DeserializeOwned;
 use serde_json::{Map, Value};
--- a/crates/vetchbridge/src/engine.rs
+++ b/crates/vetchbridge/src/engine.rs
@@ -4,9 +4,9 @@
 //! request context, the upstream group, discovery or the siblings it belongs to. Carrying never waits, so
 //! the lock is held for one event at a time. The engine must never judge, drop or reorder an action.
 
-use crate::ask::Ask;
+use crate::list::ask::Ask;
 use crate::logs::Id;
-use crate::upstream::UpstreamGroup;
+use crate::peers::UpstreamGroup;
 use silverproxy::interface::*;
 use silverproxy::policy::Policy;
 use std::cmp::Reverse;
@@ -221,7 +221,7 @@
 mod tests {
     use super::*;
     use crate::config::{file, read_text};
-    use crate::upstream::worker_id;
+    use crate::peers::worker_id;
     use platform::wire::Wire;
     use tokio::net::TcpListener;
 
--- a/crates/vetchbridge/src/ask.rs
+++ b/crates/vetchbridge/src/list/ask.rs
@@ -1,7 +1,7 @@
 //! What is asked of discovery, and by whom. Owns the words alone, so that the engine, which passes the module's asks
 //! on, and discovery, which gives the engine its news, need not know each other. It must never hold any state.
 
-use crate::listing::Source;
+use crate::list::listing::Source;
 
 /// What the module may ask of discovery.
 #[derive(Debug)]
--- a/crates/vetchbridge/src/discovery.rs
+++ b/crates/vetchbridge/src/list/discovery.rs
@@ -5,11 +5,11 @@
 //! the module subscribes again. It must never ask unbidden (but for a move of discovery itself), nor drop the
 //! list it has for one it can't read, nor compare versions of one discovery with those of another.
 
-use crate::ask::Ask;
 use crate::engine::Engine;
-use crate::listing::{Instance, Listing, Roster, Source};
+use crate::list::ask::Ask;
+use crate::list::listing::{Instance, Listing, Roster, Source};
+use crate::peers::UpstreamGroup;
 use crate::snapshot::Current;
-use crate::upstream::UpstreamGroup;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::{Request, StatusCode};
--- a/crates/vetchbridge/src/listing.rs
+++ b/crates/vetchbridge/src/list/listing.rs
@@ -2,7 +2,7 @@
 //!
 //! Owns the names of the list's fields. It must never ask for a list or judge one.
 
-use crate::upstream::worker_id;
+use crate::peers::worker_id;
 use serde::{Deserialize, Serialize};
 use silverproxy::interface::*;
 use std::collections::BTreeMap;
--- /dev/null
+++ b/crates/vetchbridge/src/list/mod.rs
@@ -0,0 +1,7 @@
+//! The list of peers: its form, what may be asked of it, and the watch on whoever keeps it.
+//!
+//! This room owns how news of peers comes in. It must never judge a list, or speak to a peer that stands on one.
+
+pub mod ask;
+pub mod discovery;
+pub mod listing;
--- a/crates/vetchbridge/src/admin.rs
+++ b/crates/vetchbridge/src/operators/admin.rs
@@ -4,9 +4,9 @@
 //! bytes, and when all places are taken one that has said nothing makes room. It must never do more than ask the
 //! lifecycle, and never let a caller hold another up.
 
-use crate::kin::Kin;
-use crate::life::Life;
-use crate::lifecycle::Refusal;
+use crate::operators::life::Life;
+use crate::operators::lifecycle::Refusal;
+use crate::upgrade::kin::Kin;
 use std::collections::VecDeque;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
--- a/crates/vetchbridge/src/life.rs
+++ b/crates/vetchbridge/src/operators/life.rs
@@ -3,7 +3,7 @@
 //! Owns the one [`Lifecycle`] of this process. Calls go in, the state comes out on a watch; time is told by
 //! [`Life::keep_time`]. It must never decide what a state means.
 
-use crate::lifecycle::{Lifecycle, Refusal, State};
+use crate::operators::lifecycle::{Lifecycle, Refusal, State};
 use std::sync::{Mutex, PoisonError};
 use tokio::sync::watch;
 use tokio::time::{sleep_until, Instant};
--- a/crates/vetchbridge/src/upstream.rs
+++ b/crates/vetchbridge/src/peers/mod.rs
@@ -4,8 +4,9 @@
 //! gives it back when it is dropped. This file must never choose a peer or a time to probe one, repeat a request by itself,
 //! or write to a peer that was told to be leaving while the attempt still waited for a connection.
 
-use crate::connections::{Count, Counted};
-use crate::load::{self, Reports};
+pub mod load;
+
+use crate::clients::connections::{Count, Counted};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::header::{CONTENT_LENGTH, HOST};
@@ -15,6 +16,7 @@
 use hyper_util::client::legacy::connect::{capture_connection, Connected, Connection, HttpConnector};
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use load::Reports;
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 use silverproxy::interface::{ListKind, LoadReport, MemberState, Note, RequestId, Status, WorkerId};
--- a/crates/vetchbridge/src/request.rs
+++ b/crates/vetchbridge/src/request.rs
@@ -5,11 +5,11 @@
 //! answer itself; it asks the module, through the engine, at each point of choice.
 
 use crate::engine::{Engine, Step};
-use crate::kin::Kin;
 use crate::logs::Id;
+use crate::peers::{Ended, Parcel, UpstreamGroup};
 use crate::snapshot::Snapshot;
+use crate::upgrade::kin::Kin;
 use crate::upgrade::words::Word;
-use crate::upstream::{Ended, Parcel, UpstreamGroup};
 use bytes::Bytes;
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use silverproxy::interface::*;
--- a/crates/vetchbridge/src/serve.rs
+++ b/crates/vetchbridge/src/serve.rs
@@ -1,20 +1,20 @@
 //! The daemon's life: owns the start, the wiring and the end of the program; it must never touch a request.
 
-use crate::admin;
-use crate::ask::Ask;
+use crate::clients::front::Front;
 use crate::config::{self, Config, Flags};
-use crate::discovery::Discovery;
 use crate::engine::Engine;
-use crate::front::Front;
-use crate::kin::Kin;
-use crate::life::Life;
-use crate::listing::{Roster, Source};
+use crate::list::ask::Ask;
+use crate::list::discovery::Discovery;
+use crate::list::listing::{Roster, Source};
 use crate::logs::Logs;
+use crate::operators::admin;
+use crate::operators::life::Life;
+use crate::peers::UpstreamGroup;
 use crate::siblings;
 use crate::snapshot::Current;
+use crate::upgrade::kin::Kin;
 use crate::upgrade::wire::Door;
 use crate::upgrade::{self, Found, House, Inheritance};
-use crate::upstream::UpstreamGroup;
 use serde_json::Value;
 use silverproxy::interface::Event;
 use silverproxy::policy::Policy;
--- a/crates/vetchbridge/src/siblings.rs
+++ b/crates/vetchbridge/src/siblings.rs
@@ -3,7 +3,7 @@
 
 use crate::config::Siblings;
 use crate::engine::Engine;
-use crate::kin::Kin;
+use crate::upgrade::kin::Kin;
 use silverproxy::interface::{Event, Peer};
 use std::future::Future;
 use std::io;
--- a/crates/vetchbridge/src/snapshot.rs
+++ b/crates/vetchbridge/src/snapshot.rs
@@ -3,8 +3,8 @@
 //! Owns which snapshot is current. Whoever works on a request keeps the one that the request was taken under. It must
 //! never check a value: what is swapped in has been checked.
 
-use crate::listing::Names;
-use crate::load::Reports;
+use crate::list::listing::Names;
+use crate::peers::load::Reports;
 use silverproxy::interface::{Class, Settings, Tenant, TenantId};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
--- a/crates/vetchbridge/src/kin.rs
+++ b/crates/vetchbridge/src/upgrade/kin.rs
@@ -3,8 +3,8 @@
 //! Owns what is known of each, and the queue of words to it. Whoever needs the other process asks here; `upgrade`
 //! carries the words. It must never wait for a process that has gone, nor hold a request up where there is none.
 
+use crate::peers::Callback;
 use crate::upgrade::words::Word;
-use crate::upstream::Callback;
 use silverproxy::interface::RequestId;
 use std::collections::{HashMap, HashSet};
 use std::os::fd::OwnedFd;
@@ -194,7 +194,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::upstream::CallbackState;
+    use crate::peers::CallbackState;
 
     fn callback() -> Callback {
         let (id, from) = ("00000000000000ab".to_string(), "s-0".to_string());
--- a/crates/vetchbridge/src/upgrade/mod.rs
+++ b/crates/vetchbridge/src/upgrade/mod.rs
@@ -8,15 +8,16 @@
 //! This file owns the hand-over socket and the links. It must never end a process: a successor that breaks off leaves
 //! the old one as it was, and the old one ends when it is told to.
 
+pub mod kin;
 pub mod wire;
 pub mod words;
 
+use crate::clients::front::Front;
 use crate::engine::Engine;
-use crate::front::Front;
-use crate::kin::{Kin, Link, Message};
-use crate::life::Life;
-use crate::listing::{Listing, Roster};
-use crate::upstream::UpstreamGroup;
+use crate::list::listing::{Listing, Roster};
+use crate::operators::life::Life;
+use crate::peers::UpstreamGroup;
+use crate::upgrade::kin::{Kin, Link, Message};
 use std::io;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::os::fd::{AsFd, OwnedFd};
--- a/crates/vetchbridge/src/upgrade/words.rs
+++ b/crates/vetchbridge/src/upgrade/words.rs
@@ -3,8 +3,8 @@
 //! Owns the words and their form: one JSON object a message, with descriptors beside it where a word brings some. It
 //! must never hold a socket. A word that can't be read ends the link, as another version's would.
 
-use crate::listing::Instance;
-use crate::upstream::Callback;
+use crate::list::listing::Instance;
+use crate::peers::Callback;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
--- a/crates/vetchbridge/tests/configuration.rs
+++ b/crates/vetchbridge/tests/configuration.rs
@@ -9,7 +9,7 @@
 use std::process::{Command, Output};
 use std::sync::atomic::{AtomicU32, Ordering};
 use vetchbridge::config::{load, read_file, Flags};
-use vetchbridge::load::{FreeSlots, Reports};
+use vetchbridge::peers::load::{FreeSlots, Reports};
 
 fn file(name: &str, text: &str) -> PathBuf {
     static FILES: AtomicU32 = AtomicU32::new(0);
--- a/crates/vetchbridge/tests/probes.rs
+++ b/crates/vetchbridge/tests/probes.rs
@@ -11,8 +11,8 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::oneshot;
-use vetchbridge::load::{FreeSlots, Reports};
-use vetchbridge::upstream::{worker_id, Callback, Ended, Parcel, UpstreamGroup};
+use vetchbridge::peers::load::{FreeSlots, Reports};
+use vetchbridge::peers::{worker_id, Callback, Ended, Parcel, UpstreamGroup};
 
 /// A story that stands still fails; none of them measures time.
 const HANG: Duration = Duration::from_secs(60);
