--- /dev/null
+++ b/crates/vetchbridge/src/clients/connection.rs
@@ -0,0 +1,287 @@
+//! One client connection: what it is doing, and since when.
+//!
+//! Owns the time that a request may take to arrive and an answer to leave, and the order in which connections can be
+//! spared. It knows nothing of what requests say. It must never name one as spare that owes an answer or brings a
+//! callback, nor one that has just been made.
+
+use super::framing::{Framing, Watch};
+use super::lock;
+use std::io;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex};
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+/// A request is whole this long after its connection was made, or after its first byte on one that is kept.
+/// Who is slower is owed an end within 3 s.
+const ARRIVAL: Duration = Duration::from_millis(2500);
+/// How long an answer may take to leave; a client that does not read must not keep its descriptor.
+const LEAVING: Duration = Duration::from_secs(10);
+/// A connection younger than this may have its first bytes on the way.
+pub(super) const YOUNG: Duration = Duration::from_millis(250);
+/// A connection younger than this makes room for nobody: it has not had the time to send anything.
+const FRESH: Duration = Duration::from_millis(10);
+/// The last to make room, and only for another newcomer.
+pub(super) const NEWCOMER: u32 = 5;
+
+/// What a connection is doing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    /// Not one byte has come.
+    Silent,
+    /// A request has begun and is not whole.
+    Arriving,
+    /// An answer is owed.
+    Owing,
+    /// The answer is on its way out.
+    Answering,
+    /// Between requests.
+    Idle,
+}
+
+struct State {
+    stage: Stage,
+    /// Since when it is in this stage; a request's time counts from its connection's first moment.
+    since: Instant,
+    answered: u32,
+    /// What it was doing when it was chosen to make room, if it was.
+    chosen: Option<Stage>,
+    watch: Watch,
+}
+
+/// One accepted connection.
+pub struct ClientConnection {
+    state: Mutex<State>,
+    ended: Notify,
+    rests: Notify,
+}
+
+impl ClientConnection {
+    pub(super) fn new() -> ClientConnection {
+        let (stage, since, watch) = (Stage::Silent, Instant::now(), Watch::new());
+        let state = State { stage, since, answered: 0, chosen: None, watch };
+        ClientConnection { state: Mutex::new(state), ended: Notify::new(), rests: Notify::new() }
+    }
+
+    /// Resolves when the connection must end now. One whose request came whole after it was chosen to make room
+    /// ends with its answer.
+    pub async fn ended(&self) {
+        loop {
+            self.ended.notified().await;
+            let (overdue, state) = (self.overdue(Instant::now()), lock(&self.state));
+            match state.stage {
+                Stage::Silent | Stage::Idle => return,
+                Stage::Arriving if overdue || state.chosen == Some(Stage::Arriving) => return,
+                Stage::Answering if overdue => return,
+                Stage::Arriving | Stage::Owing | Stage::Answering => {}
+            }
+        }
+    }
+
+    /// It is to look whether it must end now.
+    pub(super) fn end(&self) {
+        self.ended.notify_one();
+    }
+
+    /// Resolves while the connection is between requests, not one byte of the next having been read.
+    pub async fn rests(&self) {
+        loop {
+            let rests = self.rests.notified();
+            if matches!(lock(&self.state).stage, Stage::Silent | Stage::Idle) {
+                return;
+            }
+            rests.await;
+        }
+    }
+
+    /// When the request that is arriving must be whole.
+    pub fn due(&self) -> Instant {
+        lock(&self.state).since + ARRIVAL
+    }
+
+    /// Whether another request may hide in the body of one that came here.
+    pub fn ambiguous(&self) -> bool {
+        lock(&self.state).watch.ambiguous
+    }
+
+    /// Whether the answer in hand is its last: its next request could not be watched, or it makes room.
+    pub fn last(&self) -> bool {
+        let state = lock(&self.state);
+        state.watch.framing == Framing::Unwatched || state.chosen.is_some()
+    }
+
+    pub(super) fn stays(&self) -> bool {
+        lock(&self.state).chosen.is_none()
+    }
+
+    /// It is to make room.
+    pub(super) fn choose(&self) {
+        let state = &mut *lock(&self.state);
+        state.chosen = Some(state.stage);
+        self.ended.notify_one();
+    }
+
+    /// Another process has answered on it already.
+    pub fn keep(&self) {
+        let state = &mut *lock(&self.state);
+        (state.stage, state.answered) = (Stage::Idle, 1);
+    }
+
+    /// Whether it has had an answer already.
+    pub fn kept(&self) -> bool {
+        lock(&self.state).answered > 0
+    }
+
+    /// The request is whole, an answer is owed.
+    pub fn owe(&self) {
+        lock(&self.state).stage = Stage::Owing;
+    }
+
+    /// The answer has been made.
+    pub fn answered(&self) {
+        let state = &mut *lock(&self.state);
+        (state.stage, state.since) = (Stage::Answering, Instant::now());
+        state.answered += 1;
+    }
+
+    pub(super) fn seen(&self, bytes: &[u8]) {
+        let state = &mut *lock(&self.state);
+        state.watch.see(bytes);
+        match state.stage {
+            // The time counts from connecting.
+            Stage::Silent => state.stage = Stage::Arriving,
+            Stage::Idle => (state.stage, state.since) = (Stage::Arriving, Instant::now()),
+            Stage::Arriving | Stage::Owing | Stage::Answering => {}
+        }
+    }
+
+    pub(super) fn flushed(&self) {
+        let state = &mut *lock(&self.state);
+        if state.stage == Stage::Answering {
+            state.stage = if state.watch.between_requests() { Stage::Idle } else { Stage::Arriving };
+            state.since = Instant::now();
+            self.rests.notify_waiters();
+            if state.chosen.is_some() {
+                self.ended.notify_one();
+            }
+        }
+    }
+
+    /// Whether it has used up its time.
+    pub(super) fn overdue(&self, now: Instant) -> bool {
+        let state = lock(&self.state);
+        match state.stage {
+            Stage::Silent | Stage::Arriving => now >= state.since + ARRIVAL,
+            Stage::Answering => now >= state.since + LEAVING,
+            Stage::Owing | Stage::Idle => false,
+        }
+    }
+
+    pub(super) fn owes(&self, now: Instant) -> bool {
+        let state = lock(&self.state);
+        state.stage == Stage::Owing || state.stage == Stage::Answering && now < state.since + YOUNG
+    }
+
+    /// Until when it is too young to go, if it is.
+    pub(super) fn fresh(&self, now: Instant) -> Option<Instant> {
+        let state = lock(&self.state);
+        Some(state.since + FRESH).filter(|until| state.stage == Stage::Silent && now < *until)
+    }
+
+    /// Its place among those that may go to make room, the first to go lowest; `None`: it stays.
+    pub(super) fn spare(&self, now: Instant) -> Option<(u32, Instant)> {
+        let state = lock(&self.state);
+        let older_than = |age| now >= state.since + age;
+        let rank = match state.stage {
+            _ if state.chosen.is_some() => return None,
+            Stage::Silent if older_than(YOUNG) => 0,
+            Stage::Arriving if older_than(YOUNG) && !state.watch.callback => 1,
+            // A peer's next callback is worth more than a client that can connect again.
+            Stage::Idle if state.watch.callback => 4,
+            // One that has asked again and again is a better guest than one that asked once and stayed.
+            Stage::Idle if state.answered <= 1 => 2,
+            Stage::Idle => 3,
+            Stage::Silent if older_than(FRESH) => NEWCOMER,
+            Stage::Silent | Stage::Arriving | Stage::Owing | Stage::Answering => return None,
+        };
+        Some((rank, state.since))
+    }
+}
+
+/// A client connection's bytes, watched on their way.
+pub struct Watched {
+    /// The socket.
+    pub stream: TcpStream,
+    /// Whose it is.
+    pub connection: Arc<ClientConnection>,
+}
+
+impl AsyncRead for Watched {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(cx, buffer);
+        if buffer.filled().len() > before {
+            self.connection.seen(&buffer.filled()[before..]);
+        }
+        read
+    }
+}
+
+impl AsyncWrite for Watched {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, data: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, data)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let flushed = Pin::new(&mut self.stream).poll_flush(cx);
+        if let Poll::Ready(Ok(())) = flushed {
+            self.connection.flushed();
+        }
+        flushed
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        data: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, data)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// The time of a request counts over its head and body, and from connecting for the first.
+    #[tokio::test(start_paused = true)]
+    async fn a_request_that_does_not_arrive_is_overdue_and_one_that_is_owed_an_answer_never() {
+        let connection = ClientConnection::new();
+        let after = |share: f64| Instant::now() + ARRIVAL.mul_f64(share);
+        tokio::time::advance(ARRIVAL / 2).await;
+        connection.seen(b"POST /a HTTP/1.1\r\nContent-Length: 2\r\n\r\n");
+        assert!(!connection.overdue(after(0.4)) && connection.overdue(after(0.5)));
+        connection.owe();
+        assert!(!connection.overdue(after(100.0)));
+        connection.answered();
+        connection.flushed();
+        connection.seen(b"xx");
+        assert!(connection.overdue(after(1.0)), "what is left of a body is a request that has not arrived");
+    }
+}
--- a/crates/vetchbridge/src/clients/connections.rs
+++ b/crates/vetchbridge/src/clients/connections.rs
@@ -1,312 +1,22 @@
-//! Client connections: the accepted sockets, those of the peers' callbacks included.
+//! Client connections, all of them: the accepted sockets, those of the peers' callbacks included.
 //!
-//! Owns the budget of descriptors for them (what the limit leaves beside the program and the peers), the time that a
-//! request may take to arrive, and a watch on how requests are framed, of which hyper leaves no trace. It knows what
-//! each connection is doing, not what its requests say. It must never end a connection that owes an answer or brings a
-//! callback to make room, nor one that has just been made.
+//! Owns the budget of descriptors for them (what the limit leaves beside the program and the peers), and who makes room
+//! when it is used up. It must never end a connection that says of itself that it can't be spared.
 
+use super::connection::{ClientConnection, NEWCOMER};
+use super::lock;
+use crate::peers::Count;
 use std::collections::BTreeMap;
-use std::io;
-use std::pin::Pin;
-use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::task::{Context, Poll};
-use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
-use tokio::sync::Notify;
+use std::sync::{Arc, Mutex};
 use tokio::time::Instant;
 
-/// A request is whole this long after its connection was made, or after its first byte on one that is kept.
-/// Who is slower is owed an end within 3 s.
-pub const ARRIVAL: Duration = Duration::from_millis(2500);
-/// How long an answer may take to leave; a client that does not read must not keep its descriptor.
-const LEAVING: Duration = Duration::from_secs(10);
-/// A connection younger than this may have its first bytes on the way.
-const YOUNG: Duration = Duration::from_millis(250);
-/// A connection younger than this makes room for nobody: it has not had the time to send anything.
-const FRESH: Duration = Duration::from_millis(10);
 /// Descriptors that a process needs for itself: standard streams, runtime, listeners, signals, siblings, discovery and
 /// a hand-over. One at rest holds 14.
-pub const PROGRAM: usize = 24;
+const PROGRAM: usize = 24;
 /// This share of the limit is left free for connections to peers that are still to be made.
 const SPARE: usize = 8;
 /// Clients have this share of the limit whatever the peers hold.
 const AT_LEAST: usize = 4;
-/// The longest head; also hyper's read buffer, which bounds the memory that a connection takes.
-pub const HEAD_LIMIT: usize = 8 * 1024;
-/// The most header lines, as hyper has it.
-const MAX_HEADERS: usize = 100;
-
-/// What a connection is doing.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Stage {
-    /// Not one byte has come.
-    Silent,
-    /// A request has begun and is not whole.
-    Arriving,
-    /// An answer is owed.
-    Owing,
-    /// The answer is on its way out.
-    Answering,
-    /// Between requests.
-    Idle,
-}
-
-/// Where in a client's bytes the watch stands.
-#[derive(Debug, PartialEq, Eq)]
-enum Framing {
-    /// In a head, with what has come of it.
-    Head(Vec<u8>),
-    /// In a body, with this many bytes to come.
-    Body(u64),
-    /// Past what the watch can follow; the connection ends with the answer that is due.
-    Unwatched,
-}
-
-/// What the framing told of a connection's requests.
-#[derive(Debug)]
-struct Watch {
-    framing: Framing,
-    /// A request had both a `Content-Length` and a `Transfer-Encoding`: another may hide in its body.
-    ambiguous: bool,
-    /// The request in hand is a callback.
-    callback: bool,
-}
-
-impl Watch {
-    fn new() -> Watch {
-        Watch { framing: Framing::Head(Vec::new()), ambiguous: false, callback: false }
-    }
-
-    fn between_requests(&self) -> bool {
-        matches!(&self.framing, Framing::Head(head) if head.is_empty())
-    }
-
-    /// Reads on, with the parser that hyper uses, so that both see the same heads.
-    fn see(&mut self, mut bytes: &[u8]) {
-        while !bytes.is_empty() {
-            match &mut self.framing {
-                Framing::Unwatched => return,
-                Framing::Body(left) => {
-                    let here = bytes.len().min(usize::try_from(*left).unwrap_or(usize::MAX));
-                    *left -= here as u64;
-                    bytes = &bytes[here..];
-                    if *left == 0 {
-                        self.framing = Framing::Head(Vec::new());
-                    }
-                }
-                Framing::Head(head) => {
-                    let before = head.len();
-                    head.extend_from_slice(bytes);
-                    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
-                    let mut request = httparse::Request::new(&mut headers);
-                    let next = match request.parse(head) {
-                        Ok(httparse::Status::Partial) if head.len() <= HEAD_LIMIT => {
-                            self.callback = head.starts_with(b"POST /callback");
-                            return;
-                        }
-                        Ok(httparse::Status::Complete(length)) => {
-                            let named = |name: &str| {
-                                let mut lines = request.headers.iter();
-                                lines.find(|h| h.name.eq_ignore_ascii_case(name)).map(|h| h.value)
-                            };
-                            self.callback = request.path == Some("/callback");
-                            let size = named("content-length");
-                            if named("transfer-encoding").is_some() {
-                                self.ambiguous |= size.is_some();
-                                (Framing::Unwatched, length)
-                            } else {
-                                let size = size.and_then(|value| std::str::from_utf8(value).ok());
-                                match size.map_or(Ok(0), |value| value.trim().parse()) {
-                                    Ok(0) => (Framing::Head(Vec::new()), length),
-                                    Ok(size) => (Framing::Body(size), length),
-                                    Err(_) => (Framing::Unwatched, length),
-                                }
-                            }
-                        }
-                        // Too long, or no head at all: hyper answers that itself and closes.
-                        Ok(httparse::Status::Partial) | Err(_) => (Framing::Unwatched, head.len()),
-                    };
-                    bytes = &bytes[next.1 - before..];
-                    self.framing = next.0;
-                }
-            }
-        }
-    }
-}
-
-struct State {
-    stage: Stage,
-    /// Since when it is in this stage; a request's time counts from its connection's first moment.
-    since: Instant,
-    answered: u32,
-    /// What it was doing when it was chosen to make room, if it was.
-    chosen: Option<Stage>,
-    watch: Watch,
-}
-
-/// One accepted connection.
-pub struct ClientConnection {
-    state: Mutex<State>,
-    ended: Notify,
-    rests: Notify,
-}
-
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
-impl ClientConnection {
-    fn new() -> ClientConnection {
-        let (stage, since, watch) = (Stage::Silent, Instant::now(), Watch::new());
-        let state = State { stage, since, answered: 0, chosen: None, watch };
-        ClientConnection { state: Mutex::new(state), ended: Notify::new(), rests: Notify::new() }
-    }
-
-    /// Resolves when the connection must end now. One whose request came whole after it was chosen to make room
-    /// ends with its answer.
-    pub async fn ended(&self) {
-        loop {
-            self.ended.notified().await;
-            let (overdue, state) = (self.overdue(Instant::now()), lock(&self.state));
-            match state.stage {
-                Stage::Silent | Stage::Idle => return,
-                Stage::Arriving if overdue || state.chosen == Some(Stage::Arriving) => return,
-                Stage::Answering if overdue => return,
-                Stage::Arriving | Stage::Owing | Stage::Answering => {}
-            }
-        }
-    }
-
-    /// Resolves while the connection is between requests, not one byte of the next having been read.
-    pub async fn rests(&self) {
-        loop {
-            let rests = self.rests.notified();
-            if matches!(lock(&self.state).stage, Stage::Silent | Stage::Idle) {
-                return;
-            }
-            rests.await;
-        }
-    }
-
-    /// When the request that is arriving must be whole.
-    pub fn due(&self) -> Instant {
-        lock(&self.state).since + ARRIVAL
-    }
-
-    /// Whether another request may hide in the body of one that came here.
-    pub fn ambiguous(&self) -> bool {
-        lock(&self.state).watch.ambiguous
-    }
-
-    /// Whether the answer in hand is its last: its next request could not be watched, or it makes room.
-    pub fn last(&self) -> bool {
-        let state = lock(&self.state);
-        state.watch.framing == Framing::Unwatched || state.chosen.is_some()
-    }
-
-    fn stays(&self) -> bool {
-        lock(&self.state).chosen.is_none()
-    }
-
-    /// It is to make room.
-    fn choose(&self) {
-        let state = &mut *lock(&self.state);
-        state.chosen = Some(state.stage);
-        self.ended.notify_one();
-    }
-
-    /// Another process has answered on it already.
-    pub fn keep(&self) {
-        let state = &mut *lock(&self.state);
-        (state.stage, state.answered) = (Stage::Idle, 1);
-    }
-
-    /// Whether it has had an answer already.
-    pub fn kept(&self) -> bool {
-        lock(&self.state).answered > 0
-    }
-
-    /// The request is whole, an answer is owed.
-    pub fn owe(&self) {
-        lock(&self.state).stage = Stage::Owing;
-    }
-
-    /// The answer has been made.
-    pub fn answered(&self) {
-        let state = &mut *lock(&self.state);
-        (state.stage, state.since) = (Stage::Answering, Instant::now());
-        state.answered += 1;
-    }
-
-    fn seen(&self, bytes: &[u8]) {
-        let state = &mut *lock(&self.state);
-        state.watch.see(bytes);
-        match state.stage {
-            // The time counts from connecting.
-            Stage::Silent => state.stage = Stage::Arriving,
-            Stage::Idle => (state.stage, state.since) = (Stage::Arriving, Instant::now()),
-            Stage::Arriving | Stage::Owing | Stage::Answering => {}
-        }
-    }
-
-    fn flushed(&self) {
-        let state = &mut *lock(&self.state);
-        if state.stage == Stage::Answering {
-            state.stage = if state.watch.between_requests() { Stage::Idle } else { Stage::Arriving };
-            state.since = Instant::now();
-            self.rests.notify_waiters();
-            if state.chosen.is_some() {
-                self.ended.notify_one();
-            }
-        }
-    }
-
-    /// Whether it has used up its time.
-    fn overdue(&self, now: Instant) -> bool {
-        let state = lock(&self.state);
-        match state.stage {
-            Stage::Silent | Stage::Arriving => now >= state.since + ARRIVAL,
-            Stage::Answering => now >= state.since + LEAVING,
-            Stage::Owing | Stage::Idle => false,
-        }
-    }
-
-    fn owes(&self, now: Instant) -> bool {
-        let state = lock(&self.state);
-        state.stage == Stage::Owing || state.stage == Stage::Answering && now < state.since + YOUNG
-    }
-
-    /// Until when it is too young to go, if it is.
-    fn fresh(&self, now: Instant) -> Option<Instant> {
-        let state = lock(&self.state);
-        Some(state.since + FRESH).filter(|until| state.stage == Stage::Silent && now < *until)
-    }
-
-    /// Its place among those that may go to make room, the first to go lowest; `None`: it stays.
-    fn spare(&self, now: Instant) -> Option<(u32, Instant)> {
-        let state = lock(&self.state);
-        let older_than = |age| now >= state.since + age;
-        let rank = match state.stage {
-            _ if state.chosen.is_some() => return None,
-            Stage::Silent if older_than(YOUNG) => 0,
-            Stage::Arriving if older_than(YOUNG) && !state.watch.callback => 1,
-            // A peer's next callback is worth more than a client that can connect again.
-            Stage::Idle if state.watch.callback => 4,
-            // One that has asked again and again is a better guest than one that asked once and stayed.
-            Stage::Idle if state.answered <= 1 => 2,
-            Stage::Idle => 3,
-            Stage::Silent if older_than(FRESH) => NEWCOMER,
-            Stage::Silent | Stage::Arriving | Stage::Owing | Stage::Answering => return None,
-        };
-        Some((rank, state.since))
-    }
-}
-
-/// The last to make room, and only for another newcomer.
-const NEWCOMER: u32 = 5;
-
 /// What other processes of this scheduler hold of the same budget.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Elsewhere {
@@ -316,32 +26,6 @@
     pub connections: usize,
 }
 
-/// How many of a kind there are.
-#[derive(Clone, Default)]
-pub struct Count(Arc<AtomicUsize>);
-
-/// One of those that a [`Count`] counts, until it is dropped.
-pub struct Counted(Arc<AtomicUsize>);
-
-impl Count {
-    /// One more.
-    pub fn one(&self) -> Counted {
-        self.0.fetch_add(1, Ordering::Relaxed);
-        Counted(self.0.clone())
-    }
-
-    /// How many there are.
-    pub fn get(&self) -> usize {
-        self.0.load(Ordering::Relaxed)
-    }
-}
-
-impl Drop for Counted {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 #[derive(Default)]
 struct Table {
     open: BTreeMap<u64, Arc<ClientConnection>>,
@@ -435,112 +119,17 @@
     /// Ends the connections that have used up their time, and those that the peers' connections need the room of.
     pub fn sweep(&self, elsewhere: Elsewhere) {
         let (now, table) = (Instant::now(), lock(&self.table));
-        table.open.values().filter(|c| c.overdue(now)).for_each(|c| c.ended.notify_one());
+        table.open.values().filter(|c| c.overdue(now)).for_each(|c| c.end());
         let over = table.staying().saturating_sub(self.budget(elsewhere));
         _ = (0..over).all(|_| table.make_room(NEWCOMER - 1, now));
     }
 }
 
-/// A client connection's bytes, watched on their way.
-pub struct Watched {
-    /// The socket.
-    pub stream: TcpStream,
-    /// Whose it is.
-    pub connection: Arc<ClientConnection>,
-}
-
-impl AsyncRead for Watched {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = buffer.filled().len();
-        let read = Pin::new(&mut self.stream).poll_read(cx, buffer);
-        if buffer.filled().len() > before {
-            self.connection.seen(&buffer.filled()[before..]);
-        }
-        read
-    }
-}
-
-impl AsyncWrite for Watched {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, data: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, data)
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let flushed = Pin::new(&mut self.stream).poll_flush(cx);
-        if let Poll::Ready(Ok(())) = flushed {
-            self.connection.flushed();
-        }
-        flushed
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        data: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, data)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
-
-    fn watched(parts: &[&str]) -> Watch {
-        let mut watch = Watch::new();
-        parts.iter().for_each(|part| watch.see(part.as_bytes()));
-        watch
-    }
-
-    /// hyper drops the length where both stand; whoever believes it would see another request in the body.
-    #[test]
-    fn a_length_beside_a_transfer_encoding_is_seen_wherever_it_stands() {
-        let (length, chunked) = ("Content-Length: 4\r\n", "transfer-encoding: chunked\r\n");
-        for (headers, ambiguous) in [
-            (format!("{length}{chunked}"), true),
-            (format!("{chunked}{length}"), true),
-            (length.to_string(), false),
-            (chunked.to_string(), false),
-        ] {
-            let before = "POST /a/b HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc";
-            let whole = format!("{before}POST /a/b HTTP/1.1\r\n{headers}\r\n");
-            for cut in 0..whole.len() {
-                let watch = watched(&[&whole[..cut], &whole[cut..]]);
-                assert_eq!(watch.ambiguous, ambiguous, "{whole} cut at {cut}");
-            }
-        }
-        assert!(watched(&["GET /health/ready HTTP/1.1\r\n\r\n"]).between_requests());
-        assert!(!watched(&["POST /a HTTP/1.1\r\nContent-Length: 2\r\n\r\nx"]).between_requests());
-        assert_eq!(watched(&["POST / HTTP/1.1\r\n", &"a: b\r\n".repeat(3000)]).framing, Framing::Unwatched);
-    }
-
-    /// The time of a request counts over its head and body, and from connecting for the first.
-    #[tokio::test(start_paused = true)]
-    async fn a_request_that_does_not_arrive_is_overdue_and_one_that_is_owed_an_answer_never() {
-        let connection = ClientConnection::new();
-        let after = |share: f64| Instant::now() + ARRIVAL.mul_f64(share);
-        tokio::time::advance(ARRIVAL / 2).await;
-        connection.seen(b"POST /a HTTP/1.1\r\nContent-Length: 2\r\n\r\n");
-        assert!(!connection.overdue(after(0.4)) && connection.overdue(after(0.5)));
-        connection.owe();
-        assert!(!connection.overdue(after(100.0)));
-        connection.answered();
-        connection.flushed();
-        connection.seen(b"xx");
-        assert!(connection.overdue(after(1.0)), "what is left of a body is a request that has not arrived");
-    }
+    use crate::clients::connection::YOUNG;
+    use crate::peers::Counted;
 
     /// Room is made by who has said nothing, then by who stopped half-way, then by who only stays.
     #[tokio::test(start_paused = true)]
--- a/crates/vetchbridge/src/clients/front.rs
+++ b/crates/vetchbridge/src/clients/front.rs
@@ -1,51 +1,43 @@
-//! The front: the listener and the HTTP of clients and callbacks.
+//! The front: the listener, and the calls of clients and callbacks that come in on it.
 //!
-//! Turns HTTP into a [`Job`] and an [`Answer`] into HTTP, rejects what is malformed before the module hears of
-//! it, and bounds the memory that bodies take. It must never hold a request back, answer for the module, or
-//! pass on a request whose framing or meaning is in doubt.
+//! Makes a call a [`Job`](crate::request::Job) and an [`Answer`] HTTP; what is malformed is rejected before the module
+//! hears of it. It must never hold a request back, answer for the module, or pass on a request whose framing or meaning
+//! is in doubt.
 
-use crate::clients::connections::{
-    ClientConnection, ClientConnections, Elsewhere, Place, Watched, HEAD_LIMIT,
-};
+use super::connection::{ClientConnection, Watched};
+use super::connections::{ClientConnections, Elsewhere, Place};
+use super::framing::HEAD_LIMIT;
+use super::{body, job};
 use crate::engine::Engine;
 use crate::operators::admin;
 use crate::operators::life::Life;
-use crate::peers::{request_id, Callback, Parcel, UpstreamGroup};
-use crate::request::{submit, Answer, Job};
+use crate::peers::{Callback, UpstreamGroup};
+use crate::request::{submit, Answer};
 use crate::snapshot::Current;
 use crate::upgrade::kin::Kin;
 use crate::upgrade::words::Word;
-use axum::body::{to_bytes, Body, HttpBody};
+use axum::body::Body;
 use axum::extract::{Extension, Request as HttpRequest, State};
-use axum::http::header::{CONNECTION, HOST, RETRY_AFTER};
-use axum::http::request::Parts;
-use axum::http::{HeaderMap, HeaderValue, Method, StatusCode};
+use axum::http::header::{CONNECTION, RETRY_AFTER};
+use axum::http::{HeaderValue, Method, StatusCode};
 use axum::response::{IntoResponse, Response};
 use axum::routing::{get, post};
 use axum::Router;
-use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use silverproxy::interface::{ClassId, Effect, Micros, Request};
 use std::convert::Infallible;
 use std::os::fd::OwnedFd;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::sync::Semaphore;
 use tokio::time::{sleep_until, Instant};
 use tower_service::Service;
 use tracing::{debug, warn};
 
-/// The longest body of a request or callback.
-const BODY_LIMIT: usize = 64 * 1024;
-/// A body that is late is rejected this long before its connection would be ended without a word.
-const BODY_MARGIN: Duration = Duration::from_millis(200);
-/// Memory for bodies is handed out in pieces of this size.
-const PIECE: usize = 1024;
 /// Pause after a failed accept; descriptors come back as answers go out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// How often connections are looked through for those that have used up their time.
@@ -81,7 +73,6 @@
         life: Arc<Life>,
         kin: Arc<Kin>,
     ) -> Arc<Front> {
-        let room = || Arc::new(Semaphore::new((memory / 8).clamp(BODY_LIMIT, usize::MAX >> 4) / PIECE));
         let (adopted, adoptions) = unbounded_channel();
         let connections = ClientConnections::new(sockets, admin::callers(sockets), upstream.connections());
         Arc::new(Front {
@@ -92,8 +83,8 @@
             kin,
             adopted: (adopted, Mutex::new(Some(adoptions))),
             connections,
-            job_room: room(),
-            callback_room: room(),
+            job_room: body::room(memory),
+            callback_room: body::room(memory),
         })
     }
 
@@ -255,7 +246,7 @@
     Extension(connection): Extension<Arc<ClientConnection>>,
     request: HttpRequest,
 ) -> Response {
-    let (body, _room) = match read(request.into_body(), &connection, &front.callback_room).await {
+    let (body, _room) = match body::read(request.into_body(), &connection, &front.callback_room).await {
         Ok(read) => read,
         Err(refused) => return refused.into_response(),
     };
@@ -282,14 +273,14 @@
         return (StatusCode::METHOD_NOT_ALLOWED, "jobs arrive by POST\n").into_response();
     }
     let (parts, body) = request.into_parts();
-    let (body, room) = match read(body, &connection, &front.job_room).await {
+    let (body, room) = match body::read(body, &connection, &front.job_room).await {
         Ok(read) => read,
         Err(refused) => return refused.into_response(),
     };
     if !front.life.state().takes() {
         return (StatusCode::SERVICE_UNAVAILABLE, "ending\n").into_response();
     }
-    let job = match front.job(&parts, body, room) {
+    let job = match job::read(&parts, body, room, front.current.get(), front.engine.clock.now()) {
         Ok(job) => job,
         Err(reason) => return (StatusCode::BAD_REQUEST, format!("{reason}\n")).into_response(),
     };
@@ -298,33 +289,6 @@
     render(answer.unwrap_or(Answer::Failed))
 }
 
-type Refused = (StatusCode, [(hyper::header::HeaderName, &'static str); 1], &'static str);
-
-/// Reads a body whole; from then on its answer is owed. What can't be read ends its connection.
-async fn read(
-    body: Body,
-    connection: &ClientConnection,
-    room: &Arc<Semaphore>,
-) -> Result<(Bytes, OwnedSemaphorePermit), Refused> {
-    let refused = |status, reason| Err((status, [(CONNECTION, "close")], reason));
-    let expected = body.size_hint();
-    if expected.lower() > BODY_LIMIT as u64 {
-        return refused(StatusCode::PAYLOAD_TOO_LARGE, "a body holds no more than 64 KiB\n");
-    }
-    let pieces = expected.exact().map_or(BODY_LIMIT, |bytes| bytes as usize).div_ceil(PIECE);
-    let Ok(room) = room.clone().try_acquire_many_owned(pieces as u32) else {
-        return refused(StatusCode::SERVICE_UNAVAILABLE, "no memory for the body\n");
-    };
-    match tokio::time::timeout_at(connection.due() - BODY_MARGIN, to_bytes(body, BODY_LIMIT)).await {
-        Ok(Ok(body)) => {
-            connection.owe();
-            Ok((body, room))
-        }
-        Ok(Err(_)) => refused(StatusCode::PAYLOAD_TOO_LARGE, "a body holds no more than 64 KiB\n"),
-        Err(_) => refused(StatusCode::REQUEST_TIMEOUT, "the body did not arrive\n"),
-    }
-}
-
 fn render(answer: Answer) -> Response {
     match answer {
         Answer::Served(result) => (StatusCode::OK, result).into_response(),
@@ -337,178 +301,3 @@
         Answer::Duplicate => StatusCode::CONFLICT.into_response(),
     }
 }
-
-impl Front {
-    /// Reads a job; its time counts from now, when its last byte is here.
-    fn job(&self, parts: &Parts, body: Bytes, room: OwnedSemaphorePermit) -> Result<Job, String> {
-        let text = |name| only(&parts.headers, name);
-        let id_text = text("x-trace-id")?.ok_or("x-trace-id: missing")?;
-        let id = request_id(id_text).ok_or("x-trace-id: not 16 hex digits")?;
-        text(HOST.as_str())?;
-        let target = parts.uri.path_and_query().filter(|target| {
-            target.as_str().starts_with('/') && target.as_str().bytes().all(|byte| byte.is_ascii_graphic())
-        });
-        let target = target.ok_or("not a path of plain characters")?;
-        let path = target.path().trim_start_matches('/');
-        let (class_name, rest) = path.split_once('/').unwrap_or((path, ""));
-        if text("x-qos")?.is_some_and(|name| name != class_name) {
-            return Err("x-qos: not the class in the path".to_string());
-        }
-        let settings = self.current.get();
-        let (number, class) = settings.class(class_name).ok_or_else(|| format!("no class {class_name:?}"))?;
-        let idempotency_key = text("idempotency-key")?.map(str::to_string);
-        if idempotency_key.is_none() && matches!(class.effect, Effect::Keyed { .. }) {
-            return Err("idempotency-key: missing, its class needs one".to_string());
-        }
-        let key = rest.rsplit('/').next().filter(|key| !key.is_empty());
-        let wait = match text("x-expires-in")? {
-            Some(value) => parse_span(value).ok_or("x-expires-in: not a number with unit m or u")?,
-            None => class.deadline,
-        };
-        let hint = match text("x-size-hint")? {
-            Some(value) => Some(parse_number(value).ok_or("x-size-hint: unreadable")?),
-            None => None,
-        };
-        // A tenant is for worth alone: one that is in doubt costs the job its tenant's share, never its answer.
-        let mut customers = parts.headers.get_all("x-customer").iter();
-        let customer = customers.next().filter(|_| customers.next().is_none()).map(HeaderValue::as_bytes);
-        let props = text("x-props")?.unwrap_or("");
-        let named = |name: &str| matches!(name.trim(), "slots" | "width");
-        let mut slots = props.split(',').filter_map(|prop| prop.split_once('=')).filter(|prop| named(prop.0));
-        let slots = slots.find_map(|(_, value)| parse_number(value.trim()).filter(|slots| *slots > 0.0));
-        let request = Request {
-            id,
-            class: ClassId(number),
-            tenant: settings.tenant(customer),
-            key: key.map(str::to_string),
-            // No client of a class waits longer than this, whatever it says.
-            due: self.engine.clock.now().saturating_add(wait.min(class.deadline)),
-            expected_work: hint.map(|hint| hint as Micros),
-            slots: slots.unwrap_or(1.0),
-            retry: text("x-second-try")? == Some("1"),
-        };
-        let parcel = Parcel { id: id_text.to_string(), target: target.clone(), idempotency_key, body };
-        Ok(Job { request, parcel, settings, room: Some(room) })
-    }
-}
-
-/// A header's only value. Two of them are two clients' words in one request, and neither can be believed.
-fn only<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, String> {
-    let mut values = headers.get_all(name).iter();
-    match (values.next().map(HeaderValue::to_str), values.next()) {
-        (None, _) => Ok(None),
-        (Some(Ok(value)), None) => Ok(Some(value)),
-        (Some(Err(_)), None) => Err(format!("{name}: not plain text")),
-        (Some(_), Some(_)) => Err(format!("{name}: given more than once")),
-    }
-}
-
-/// Reads digits with or without a fraction; signs, exponents and words are none.
-fn parse_number(text: &str) -> Option<f64> {
-    let plain = text.bytes().all(|byte| byte.is_ascii_digit() || byte == b'.');
-    text.parse::<f64>().ok().filter(|number| plain && number.is_finite())
-}
-
-/// Reads a span such as `480m` (milliseconds) or `480000u` (microseconds).
-fn parse_span(text: &str) -> Option<Micros> {
-    let (number, scale) = match text.strip_suffix('m') {
-        Some(number) => (number, 1000.0),
-        None => (text.strip_suffix('u')?, 1.0),
-    };
-    Some((parse_number(number)? * scale) as Micros)
-}
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::config::read_text;
-    use silverproxy::policy::Policy;
-
-    /// Two tenants, one class; nothing of it ever touches a socket.
-    fn front(accounts: &str) -> Arc<Front> {
-        let text = format!(
-            r#"{{"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "1",
-            "settings": {{"me": 0, "balancers": 1, "areas": ["a"], "kinds": ["m"], "zone": 0, "discovery": "ask",
-            "accounts": {accounts}, "limits": {{"max_attempts": 2}},
-            "services": [{{"name": "safe", "repeat": "safe", "aim": 1000, "deadline": 9000000}}],
-            "rules": {{"stop_sending_within": 1, "start_capacity": 0.2, "cold": 1, "tip_multiple": 2.5, "fall": 1}}}}}}"#
-        );
-        let snapshot = read_text("test", &text).expect("it reads").config.snapshot;
-        let policy = Policy::new(snapshot.settings.clone(), 1).expect("sound settings");
-        let upstream = Arc::new(UpstreamGroup::new(Duration::ZERO, Duration::ZERO, 1));
-        let engine = Engine::new(policy, upstream.clone(), unbounded_channel().0, unbounded_channel().0);
-        let (life, kin) = (Arc::new(Life::begin(false)), Arc::new(Kin::default()));
-        Front::new(engine, upstream, Arc::new(Current::new(snapshot)), 64, 1 << 20, life, kin)
-    }
-
-    fn job(front: &Front, headers: &[(&str, &[u8])]) -> Result<Job, String> {
-        let mut request = hyper::Request::post("/safe/k").body(()).expect("a request");
-        request.headers_mut().insert("x-trace-id", HeaderValue::from_static("00000000000000ab"));
-        for (name, value) in headers {
-            let name: hyper::header::HeaderName = name.parse().expect("a name");
-            request.headers_mut().append(name, HeaderValue::from_bytes(value).expect("a value"));
-        }
-        let room = front.job_room.clone().try_acquire_owned().expect("room");
-        front.job(&request.into_parts().0, Bytes::new(), room)
-    }
-
-    /// Who names no tenant that the settings know is served all the same, and uses up nobody's share.
-    #[test]
-    fn a_tenant_is_known_by_its_name_and_a_stranger_has_no_share() {
-        let named =
-            front(r#"[{"name": "acme", "allowance_per_s": 5}, {"name": "caf\u00e9", "allowance_per_s": 3}]"#);
-        let tenants = named.current.get().settings.tenants.clone();
-        assert_eq!(tenants.iter().map(|t| t.allowance_per_s).collect::<Vec<_>>(), [5.0, 3.0, 0.0]);
-        let cases: [(&[&[u8]], u32); 7] = [
-            (&[b"acme"], 0),
-            (&["caf\u{e9}".as_bytes()], 1),
-            (&[b"Acme"], 2),
-            (&[b""], 2),
-            (&[b"\xff"], 2),
-            (&[], 2),
-            (&[b"acme", b"caf\xc3\xa9"], 2),
-        ];
-        for (names, tenant) in cases {
-            let headers: Vec<(&str, &[u8])> = names.iter().map(|name| ("x-customer", *name)).collect();
-            let request = job(&named, &headers).expect("a job").request;
-            assert_eq!(request.tenant.0, tenant, "{names:?}");
-        }
-        let without = front("[]");
-        assert_eq!(job(&without, &[("x-customer", b"acme")]).expect("a job").request.tenant.0, 0);
-        assert!(without.current.get().settings.tenants.is_empty());
-    }
-
-    #[test]
-    fn the_headers_of_a_job_reach_the_module() {
-        let front = front("[]");
-        let request =
-            |name: &str, value: &str| job(&front, &[(name, value.as_bytes())]).map(|job| job.request);
-        let hint = |value| request("x-size-hint", value).map(|request| request.expected_work);
-        assert_eq!((hint("12000"), hint("12000.7")), (Ok(Some(12_000)), Ok(Some(12_000))));
-        assert!(hint("-1").is_err() && hint("nan").is_err());
-        assert_eq!(request("host", "x").map(|request| request.expected_work), Ok(None));
-        for (value, retry) in [("1", true), ("0", false)] {
-            assert_eq!(request("x-second-try", value).map(|request| request.retry), Ok(retry));
-        }
-        for (value, slots) in [
-            ("slots=2", 2.0),
-            ("memory=3, slots = 0.5", 0.5),
-            ("width=4", 4.0),
-            ("slots=nan,slots=3", 3.0),
-            ("slots=0", 1.0),
-            ("slots=-2", 1.0),
-            ("slots=inf", 1.0),
-            ("slots,=,", 1.0),
-            ("", 1.0),
-        ] {
-            assert_eq!(request("x-props", value).map(|request| request.slots), Ok(slots), "{value}");
-        }
-        for (value, wait) in [("480m", 480_000), ("1.5m", 1500), ("480000u", 480_000), ("99999m", 9_000_000)]
-        {
-            let before = front.engine.clock.now();
-            let due = request("x-expires-in", value).expect("a job").due;
-            assert!((before + wait..=front.engine.clock.now() + wait).contains(&due), "{value}");
-        }
-        assert!(request("x-expires-in", "480").is_err() && request("x-expires-in", "480s").is_err());
-    }
-}
--- a/crates/vetchbridge/src/clients/mod.rs
+++ b/crates/vetchbridge/src/clients/mod.rs
@@ -2,5 +2,15 @@
 //!
 //! This room owns what a client or a callback can see of the daemon. It must never choose a peer or speak to one.
 
-pub mod connections;
+mod body;
+mod connection;
+mod connections;
+mod framing;
 pub mod front;
+mod job;
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/vetchbridge/src/peers/mod.rs
+++ b/crates/vetchbridge/src/peers/mod.rs
@@ -1,63 +1,45 @@
-//! The upstream group: the peers that discovery has named, their connections, and the attempts and probes out at them.
+//! The peers' side: the upstream group, which is the peers that discovery has named, and the attempts and probes out at
+//! them.
 //!
-//! Each [`Peer`] owns its pool of connections; each attempt owns its place in the table of callbacks and
-//! gives it back when it is dropped. This file must never choose a peer or a time to probe one, repeat a request by itself,
-//! or write to a peer that was told to be leaving while the attempt still waited for a connection.
-
+//! Each [`Peer`] owns its pool of connections; what an attempt or a probe has come to is told from its exchange
+//! (`exchange`) and from the callbacks that name it (`callbacks`). This room must never choose a peer or a time to probe
+//! one, repeat a request by itself, or write to a peer that was told to be leaving while the attempt still waited for a
+//! connection.
+
+mod callbacks;
+mod dial;
+mod exchange;
 pub mod load;
 
-use crate::clients::connections::{Count, Counted};
+pub use callbacks::{Callback, CallbackState};
+pub use dial::{Count, Counted};
+pub use exchange::Parcel;
+
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::header::{CONTENT_LENGTH, HOST};
-use hyper::http::uri::{Authority, PathAndQuery, Scheme};
-use hyper::rt::{Read, ReadBufCursor, Write};
-use hyper::{HeaderMap, Method, Request, StatusCode, Uri};
-use hyper_util::client::legacy::connect::{capture_connection, Connected, Connection, HttpConnector};
+use callbacks::Callbacks;
+use dial::Dialer;
+use exchange::{Broken, Reply, GIVE_UP_WAIT};
+use http_body_util::Full;
+use hyper::http::uri::{Authority, PathAndQuery};
+use hyper::{Method, StatusCode};
+use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::client::legacy::Client;
-use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use hyper_util::rt::{TokioExecutor, TokioTimer};
 use load::Reports;
-use serde::{Deserialize, Serialize};
-use serde_json::value::RawValue;
 use silverproxy::interface::{ListKind, LoadReport, MemberState, Note, RequestId, Status, WorkerId};
 use std::collections::HashMap;
-use std::future::Future;
-use std::io::{self, IoSlice};
-use std::pin::Pin;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::task::{Context, Poll};
 use std::time::Duration;
-use tokio::net::TcpStream;
-use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
 use tokio::sync::{oneshot, watch, Semaphore};
-use tower_service::Service;
 use tracing::{debug, warn};
 
 /// Idle connections kept for one peer; a job holds one only until its 202.
 const IDLE_PER_PEER: usize = 8;
 /// How long a peer may take to answer 202 where the settings put no limit on a dial.
 const TAKEN_WITHIN: Duration = Duration::from_secs(1);
-/// How long a peer is given to answer the call that gives an attempt up.
-const GIVE_UP_WAIT: Duration = Duration::from_secs(2);
 /// How long a probe may take, dial included. A peer that has let one wait in its queue for 500 ms turns it away; what it
 /// says then is still read, which keeps the connection, and a peer that says nothing by now is not going to.
 const PROBE_WAIT: Duration = Duration::from_millis(600);
-/// The longest body of an answer.
-const BODY_LIMIT: usize = 64 * 1024;
-
-/// What a peer is given of a request, unchanged.
-pub struct Parcel {
-    /// The request's id as the client wrote it.
-    pub id: String,
-    /// Path and query.
-    pub target: PathAndQuery,
-    /// The key under which peers drop a repeat.
-    pub idempotency_key: Option<String>,
-    /// The body.
-    pub body: Bytes,
-}
-
 /// How an attempt ended.
 #[derive(Debug, PartialEq, Eq)]
 pub enum Ended {
@@ -67,44 +49,6 @@
     Not(Status),
 }
 
-/// A peer's word on a job, sent to the address that clients use.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-pub struct Callback {
-    /// The request's id.
-    pub id: String,
-    /// The peer, by its name in discovery.
-    pub from: String,
-    /// What became of the job.
-    pub state: CallbackState,
-    /// Share done.
-    #[serde(default)]
-    pub share: f64,
-    /// The answer.
-    #[serde(default)]
-    pub result: String,
-    /// The peer's load report, as it was written: one that can't be read must not spoil the word on the job.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub load: Option<Box<RawValue>>,
-}
-
-/// What a callback may tell.
-#[derive(Clone, Copy, Debug, Deserialize, Serialize, PartialEq, Eq)]
-#[serde(rename_all = "lowercase")]
-pub enum CallbackState {
-    /// The job has started.
-    Started,
-    /// It is running.
-    Running,
-    /// It is done.
-    Done,
-    /// It failed; it may have run.
-    Failed,
-    /// Handed back unstarted.
-    Returned,
-    /// Killed, or its process died; it may have run.
-    Lost,
-}
-
 /// The number by which the module knows a peer: a hash of its name alone (FNV-1a), so that all schedulers agree.
 pub fn worker_id(name: &str) -> WorkerId {
     let hash = |h: u64, b: u8| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3);
@@ -118,7 +62,6 @@
 }
 
 type PeerClient = Client<Dialer, Full<Bytes>>;
-type Table<T> = Mutex<HashMap<(RequestId, WorkerId), UnboundedSender<T>>>;
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
@@ -136,7 +79,7 @@
 /// See the head of this file.
 pub struct UpstreamGroup {
     peers: Mutex<HashMap<WorkerId, Arc<Peer>>>,
-    callbacks: Arc<Table<Callback>>,
+    callbacks: Callbacks,
     times: Mutex<Times>,
     reports: Mutex<Reports>,
     /// Probes that may still go out: each may hold a descriptor.
@@ -164,19 +107,6 @@
     }
 }
 
-/// An attempt's place in the table of callbacks.
-struct Inbox {
-    table: Arc<Table<Callback>>,
-    key: (RequestId, WorkerId),
-    calls: UnboundedReceiver<Callback>,
-}
-
-impl Drop for Inbox {
-    fn drop(&mut self) {
-        lock(&self.table).remove(&self.key);
-    }
-}
-
 impl UpstreamGroup {
     /// A group without peers. `conn_idle` is when peers close an idle connection themselves; so many probes at most
     /// are out at once.
@@ -185,7 +115,7 @@
         let probes = Semaphore::new(probes);
         UpstreamGroup {
             peers: Mutex::default(),
-            callbacks: Arc::default(),
+            callbacks: Callbacks::default(),
             times,
             reports: Mutex::default(),
             probes,
@@ -275,15 +205,7 @@
 
     /// Passes a callback to the attempt that it is about; false if none such is out here.
     pub fn called_back(&self, callback: &Callback) -> bool {
-        let Some(id) = request_id(&callback.id) else {
-            warn!(peer = callback.from, "callback.unreadable");
-            return true;
-        };
-        let table = lock(&self.callbacks);
-        let Some(inbox) = table.get(&(id, worker_id(&callback.from))) else { return false };
-        // Failure means that the attempt is ending in this instant.
-        drop(inbox.send(callback.clone()));
-        true
+        self.callbacks.pass(callback)
     }
 
     fn client(&self) -> PeerClient {
@@ -297,13 +219,7 @@
             .pool_idle_timeout(times.idle)
             .pool_max_idle_per_host(IDLE_PER_PEER)
             .pool_timer(TokioTimer::new())
-            .build(Dialer(tcp, self.connections.clone()))
-    }
-
-    fn listen(&self, id: RequestId, worker: WorkerId) -> Inbox {
-        let (sender, calls) = unbounded_channel();
-        lock(&self.callbacks).insert((id, worker), sender);
-        Inbox { table: self.callbacks.clone(), key: (id, worker), calls }
+            .build(Dialer::new(tcp, self.connections.clone()))
     }
 
     /// One probe, over the connections that the peer's attempts use; how it ended, and the load report that came along.
@@ -369,7 +285,7 @@
             return not(Status::ConnectFailed);
         };
         // Before the first byte: a callback may overtake the 202.
-        let mut inbox = self.listen(id, worker);
+        let mut inbox = self.callbacks.listen(id, worker);
         let until = tokio::time::sleep(wait);
         tokio::pin!(until);
         let mut taking = peer.taking.subscribe();
@@ -459,216 +375,6 @@
         && status != StatusCode::TOO_MANY_REQUESTS
 }
 
-/// How an exchange broke.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Broken {
-    /// Before the request's last byte was written.
-    NeverRan,
-    /// After it, or we can't tell.
-    MayHaveRun,
-}
-
-/// A peer's answer.
-struct Reply {
-    status: StatusCode,
-    headers: HeaderMap,
-    /// Empty if it was too long; `None` if it broke off.
-    body: Option<Bytes>,
-}
-
-impl Reply {
-    fn never_ran(&self) -> bool {
-        self.headers.get("x-never-ran").is_some_and(|value| value == "1")
-    }
-
-    /// The load report in its head.
-    fn load(&self) -> Option<&[u8]> {
-        self.headers.get(load::HEADER).map(|value| value.as_bytes())
-    }
-}
-
-type Answered = Result<Reply, Broken>;
-
-/// One request to a peer and its answer; dropping it closes the connection it was written to.
-struct Exchange {
-    connection: hyper_util::client::legacy::connect::CaptureConnection,
-    answer: Pin<Box<dyn Future<Output = Answered> + Send>>,
-}
-
-impl Exchange {
-    fn connected(&self) -> bool {
-        self.connection.connection_metadata().is_some()
-    }
-}
-
-impl Peer {
-    fn exchange(&self, method: Method, target: &PathAndQuery, job: Option<(&Parcel, Duration)>) -> Exchange {
-        let mut request =
-            Request::new(Full::new(job.map(|(parcel, _)| parcel.body.clone()).unwrap_or_default()));
-        *request.method_mut() = method;
-        let uri = Uri::builder().scheme(Scheme::HTTP).authority(self.address.clone());
-        // With all three parts given and checked, building can't fail.
-        *request.uri_mut() = uri.path_and_query(target.clone()).build().unwrap_or_default();
-        let headers = request.headers_mut();
-        let mut header = |name: &'static str, value: &str| {
-            if let Ok(value) = value.parse() {
-                headers.insert(name, value);
-            }
-        };
-        header(HOST.as_str(), self.address.as_str());
-        if let Some((parcel, wait)) = job {
-            header(CONTENT_LENGTH.as_str(), &parcel.body.len().to_string());
-            header("x-trace-id", &parcel.id);
-            header("x-expires-in", &format!("{}u", wait.as_micros()));
-            if let Some(key) = &parcel.idempotency_key {
-                header("idempotency-key", key);
-            }
-        }
-        let length = written_length(&request);
-        let connection = capture_connection(&mut request);
-        let client = lock(&self.client).clone();
-        let (seen, name) = (connection.clone(), self.name.clone());
-        let answer = async move {
-            let response = client.request(request).await;
-            let meter = {
-                let connected = connection.connection_metadata();
-                let mut extras = hyper::http::Extensions::new();
-                connected.iter().for_each(|connected| connected.get_extras(&mut extras));
-                extras.remove::<Meter>()
-            };
-            match response {
-                Ok(response) => {
-                    meter.iter().for_each(Meter::settle);
-                    let (head, body) = response.into_parts();
-                    // The connection serves again only after the whole answer has been read.
-                    let body = match Limited::new(body, BODY_LIMIT).collect().await {
-                        Ok(body) => Some(body.to_bytes()),
-                        Err(error) => error.is::<LengthLimitError>().then(Bytes::new),
-                    };
-                    Ok(Reply { status: head.status, headers: head.headers, body })
-                }
-                Err(error) => {
-                    let never_ran = error.is_connect() || meter.is_none_or(|meter| meter.open() < length);
-                    debug!(peer = name, ?error, never_ran, "attempt.broke");
-                    Err(if never_ran { Broken::NeverRan } else { Broken::MayHaveRun })
-                }
-            }
-        };
-        Exchange { connection: seen, answer: Box::pin(answer) }
-    }
-
-    /// Gives an attempt up: after the 202 by a call; before it, dropping the exchange closes the connection.
-    fn give_up(&self, accepted: bool, id: &str) {
-        if accepted {
-            // An id is 16 hex digits, so this is a path.
-            let Ok(target) = format!("/jobs/{id}").parse() else { return };
-            let call = self.exchange(Method::DELETE, &target, None);
-            tokio::spawn(tokio::time::timeout(GIVE_UP_WAIT, call.answer));
-        }
-    }
-}
-
-/// Bytes that this request takes on a connection: every header is set by us, hyper adds none.
-fn written_length(request: &Request<Full<Bytes>>) -> u64 {
-    let target = request.uri().path_and_query().map_or(1, |target| target.as_str().len());
-    let line = request.method().as_str().len() + 1 + target + " HTTP/1.1\r\n".len();
-    let headers: usize = request.headers().iter().map(|(n, v)| n.as_str().len() + v.len() + 4).sum();
-    let body = hyper::body::Body::size_hint(request.body()).exact().unwrap_or(0);
-    (line + headers + 2) as u64 + body
-}
-
-/// Counts what is written to a connection, to tell requests that were written whole from those that were not.
-#[derive(Clone, Default)]
-struct Meter(Arc<(AtomicU64, AtomicU64)>);
-
-impl Meter {
-    /// All that was written belongs to exchanges that are over.
-    fn settle(&self) {
-        self.0 .1.store(self.0 .0.load(Ordering::Relaxed), Ordering::Relaxed);
-    }
-
-    /// Bytes written for the exchange in hand.
-    fn open(&self) -> u64 {
-        self.0 .0.load(Ordering::Relaxed) - self.0 .1.load(Ordering::Relaxed)
-    }
-
-    fn count(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
-        if let Poll::Ready(Ok(bytes)) = &written {
-            self.0 .0.fetch_add(*bytes as u64, Ordering::Relaxed);
-        }
-        written
-    }
-}
-
-/// Dials peers; its connections carry a [`Meter`] and are counted from the dial on.
-#[derive(Clone)]
-struct Dialer(HttpConnector, Count);
-
-struct Metered {
-    io: TokioIo<TcpStream>,
-    meter: Meter,
-    _counted: Counted,
-}
-
-impl Service<Uri> for Dialer {
-    type Response = Metered;
-    type Error = <HttpConnector as Service<Uri>>::Error;
-    type Future = Pin<Box<dyn Future<Output = Result<Metered, Self::Error>> + Send>>;
-
-    fn poll_ready(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), Self::Error>> {
-        self.0.poll_ready(cx)
-    }
-
-    fn call(&mut self, uri: Uri) -> Self::Future {
-        let (dial, counted) = (self.0.call(uri), self.1.one());
-        Box::pin(async move { Ok(Metered { io: dial.await?, meter: Meter::default(), _counted: counted }) })
-    }
-}
-
-impl Connection for Metered {
-    fn connected(&self) -> Connected {
-        self.io.connected().extra(self.meter.clone())
-    }
-}
-
-impl Read for Metered {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buffer: ReadBufCursor<'_>,
-    ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.io).poll_read(cx, buffer)
-    }
-}
-
-impl Write for Metered {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, data: &[u8]) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.io).poll_write(cx, data);
-        self.meter.count(written)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        data: &[IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.io).poll_write_vectored(cx, data);
-        self.meter.count(written)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.io.is_write_vectored()
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.io).poll_flush(cx)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.io).poll_shutdown(cx)
-    }
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
