Serve on after SIGTERM for the clients that have a connection, until 1 s before the end

Cause: `hangs_up` held from SIGTERM on and idle connections were closed 0.5 s later, though clients go on using what stays open and SIGKILL comes 3.7 s after. The start of a new process (2.5 ms) and the list after it were ruled out.

Change: until 1 s before the last call nothing is hung up on and nothing idle is closed; then as before. The last call comes 0.3 s after the longest deadline, 3 s at most, in place of always at 3.3 s: with deadlines of under 3 s SIGKILL comes sooner. Nobody connected: it ends from 0.9 s on as before.

--- a/crates/vetchbridge/src/clients/front.rs
+++ b/crates/vetchbridge/src/clients/front.rs
@@ -93,6 +93,11 @@
         self.connections.owe() || self.engine.requests() > 0
     }
 
+    /// The longest time that a client waits by the settings in force.
+    pub fn longest_deadline(&self) -> Duration {
+        self.current.get().longest_deadline()
+    }
+
     /// How many client connections there are.
     pub fn connections(&self) -> usize {
         self.connections.count()
--- a/crates/vetchbridge/src/operators/admin.rs
+++ b/crates/vetchbridge/src/operators/admin.rs
@@ -184,7 +184,7 @@
             assert_eq!(call(address, line).await, expected, "{}", line.escape_ascii());
             assert_eq!(life.state().ready(), ready, "after {}", line.escape_ascii());
         }
-        life.terminate();
+        life.terminate(Duration::from_secs(5));
         assert_eq!(call(address, b"health\n").await, "fail ending\n");
         assert_eq!(call(address, b"resume\n").await, "fail ending\n");
         assert_eq!(call(address, b"quiesce\n").await, "ok ending\n");
--- a/crates/vetchbridge/src/operators/life.rs
+++ b/crates/vetchbridge/src/operators/life.rs
@@ -54,9 +54,9 @@
         self.call(|life, _| life.resume())
     }
 
-    /// It is to end.
-    pub fn terminate(&self) {
-        self.call(|life, now| life.terminate(now));
+    /// It is to end; its clients wait no longer than `deadline`.
+    pub fn terminate(&self, deadline: std::time::Duration) {
+        self.call(|life, now| life.terminate(now, deadline));
     }
 
     fn call<T>(&self, call: impl FnOnce(&mut Lifecycle, std::time::Duration) -> T) -> T {
--- a/crates/vetchbridge/src/operators/lifecycle.rs
+++ b/crates/vetchbridge/src/operators/lifecycle.rs
@@ -8,9 +8,12 @@
 
 /// Once clients are sent away, idle connections are left to them for this long: the front may still deal them out.
 pub const LET_IDLE: Duration = Duration::from_millis(500);
-/// After SIGTERM, what is still open then gets its final answer: SIGKILL may come 3.7 s after SIGTERM, and what
-/// it finds unanswered is lost.
-pub const LAST_CALL: Duration = Duration::from_millis(3300);
+/// SIGKILL comes no sooner after SIGTERM than the longest deadline, which counts as no more than this, and 0.7 s more.
+const LONGEST_DEADLINE: Duration = Duration::from_secs(3);
+/// So long after that deadline what is still open gets its final answer: what SIGKILL finds unanswered is lost.
+const LAST_CALL: Duration = Duration::from_millis(300);
+/// So long before that no connection is kept any more, and what is taken by then has the rest of the time.
+const HANG_UP: Duration = Duration::from_secs(1);
 
 /// How far a process is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -30,7 +33,8 @@
 /// How far a process is on its way out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum End {
-    /// As [`State::Draining`].
+    /// Not ready for new clients; those that have a connection are served on, since they use it for as long as it
+    /// stays open, and another scheduler may be restarting too.
     Draining,
     /// As [`State::Drained`].
     Drained,
@@ -64,7 +68,7 @@
 
     /// Whether an answer ends its connection.
     pub fn hangs_up(self) -> bool {
-        !matches!(self, State::Starting | State::Serving)
+        !matches!(self, State::Starting | State::Serving | State::Ending(End::Draining))
     }
 
     /// Whether idle connections are closed.
@@ -97,12 +101,14 @@
     since: Duration,
     /// Operators want clients sent away, from before it can serve on.
     quiesced: bool,
+    /// From being told to end to the final answer of what is still open.
+    last_call: Duration,
 }
 
 impl Lifecycle {
     /// A process that has just started; `quiesced`: it begins with its clients sent away.
     pub fn new(quiesced: bool) -> Lifecycle {
-        Lifecycle { state: State::Starting, since: Duration::ZERO, quiesced }
+        Lifecycle { state: State::Starting, since: Duration::ZERO, quiesced, last_call: Duration::ZERO }
     }
 
     /// The state.
@@ -145,10 +151,11 @@
         Ok(())
     }
 
-    /// It is to end. Told twice, it ends as it does already.
-    pub fn terminate(&mut self, now: Duration) {
+    /// It is to end; its clients wait no longer than `deadline`. Told twice, it ends as it does already.
+    pub fn terminate(&mut self, now: Duration, deadline: Duration) {
         if !matches!(self.state, State::Ending(_)) {
             (self.state, self.since) = (State::Ending(End::Draining), now);
+            self.last_call = deadline.min(LONGEST_DEADLINE) + LAST_CALL;
         }
     }
 
@@ -159,8 +166,9 @@
     /// When time alone leads on.
     pub fn wakes(&self) -> Option<Duration> {
         match self.state {
-            State::Draining | State::Ending(End::Draining) => Some(self.since + LET_IDLE),
-            State::Ending(End::Drained) => Some(self.since + LAST_CALL),
+            State::Draining => Some(self.since + LET_IDLE),
+            State::Ending(End::Draining) => Some(self.since + self.last_call.saturating_sub(HANG_UP)),
+            State::Ending(End::Drained) => Some(self.since + self.last_call),
             State::Starting | State::Serving | State::Drained | State::Ending(End::Leaving) => None,
         }
     }
@@ -201,9 +209,9 @@
         assert_eq!(life.state(), State::Drained, "a second call does not put the end of a drain off");
         assert_eq!((life.wakes(), life.resume(), life.state()), (None, Ok(()), State::Serving));
         life.quiesce(at(700));
-        life.terminate(at(800));
+        life.terminate(at(800), at(60_000));
         assert_eq!(life.resume(), Err(Refusal::Ending));
-        life.advance(at(800) + LAST_CALL);
+        life.advance(at(800 + 3_300));
         assert!(!life.state().takes() && life.state().closes_idle());
     }
 
@@ -226,6 +234,29 @@
         assert_eq!(successor.state(), State::Draining);
     }
 
+    /// SIGKILL comes 0.7 s after the longest deadline, or after 3 s; clients use what stays open until shortly before.
+    #[test]
+    fn told_to_end_it_serves_on_and_is_done_before_it_is_killed() {
+        for (deadline, hangs_up, leaves) in
+            [(60_000, 2_300, 3_300), (3_000, 2_300, 3_300), (1_500, 800, 1_800), (200, 0, 500)]
+        {
+            let mut life = Lifecycle::new(false);
+            life.started(at(10));
+            life.terminate(at(20), at(deadline));
+            let mut state = |ms: u64| {
+                life.advance(at(20 + ms));
+                life.state()
+            };
+            if hangs_up > 0 {
+                let serving = state(hangs_up - 1);
+                assert!(!serving.ready() && serving.takes() && !serving.hangs_up() && !serving.closes_idle());
+            }
+            let ending = state(hangs_up);
+            assert!(ending.takes() && ending.hangs_up() && ending.closes_idle(), "{deadline}");
+            assert!(state(leaves - 1).takes() && !state(leaves).takes(), "{deadline}");
+        }
+    }
+
     proptest! {
         /// Whatever is called in whatever order: an end is final and goes forward alone, a process is ready exactly
         /// when it can serve and its clients are wanted, and time leads to rest.
@@ -247,14 +278,14 @@
                     0 => { life.started(at(now)); started = true }
                     1 => { life.quiesce(at(now)); wanted = false }
                     2 => wanted |= life.resume().is_ok(),
-                    3 => { life.terminate(at(now)); ended = true }
+                    3 => { life.terminate(at(now), at(5_000)); ended = true }
                     _ => {}
                 }
                 prop_assert!(rank(life.state()) >= before);
                 prop_assert_eq!(life.state().ready(), started && wanted && !ended);
                 prop_assert_eq!(life.state().can_serve().is_ok(), started && !ended);
             }
-            life.advance(at(now) + LAST_CALL);
+            life.advance(at(now + 3_300));
             prop_assert_eq!(life.wakes(), None);
         }
     }
--- a/crates/vetchbridge/src/serve.rs
+++ b/crates/vetchbridge/src/serve.rs
@@ -72,7 +72,7 @@
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
     }
-    house.life.terminate();
+    house.life.terminate(house.front.longest_deadline());
     sleep(LISTEN_ON).await;
     let mut quiet_since = Instant::now();
     let mut leaving = false;
@@ -82,7 +82,9 @@
             leaving = true;
             house.engine.handle(Event::Ending);
         }
-        if house.front.owes() || house.kin.behind() {
+        // Clients use a connection for as long as it stays open; who has none is dealt to another scheduler.
+        let serves_on = house.front.connections() > 0 && !house.life.state().closes_idle();
+        if house.front.owes() || house.kin.behind() || serves_on {
             quiet_since = Instant::now();
         }
     }
--- a/crates/vetchbridge/src/snapshot.rs
+++ b/crates/vetchbridge/src/snapshot.rs
@@ -37,6 +37,11 @@
         TenantId(number.unwrap_or(self.settings.tenants.len().saturating_sub(1)) as u32)
     }
 
+    /// The longest time that a client waits, of all classes.
+    pub fn longest_deadline(&self) -> Duration {
+        Duration::from_micros(self.settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0))
+    }
+
     /// The class of a name, and its number.
     pub fn class(&self, name: &str) -> Option<(u32, &Class)> {
         let number = self.names.classes.iter().position(|known| known == name)?;
