Tell in tests how a list out of reach is served by, and what three strangers send a cold peer

Change: tests alone. One dispatcher of three loses its watch, and each call fails at once, after 1 s or after 2 s for 23 s: it serves on by the list that it has, asks again apart from the other two, and heeds a drain once it is answered. Three schedulers without keepers, starts or reports play 24 s of a cold peer under twice the load that the other nine can carry.

--- a/crates/silverproxy/tests/discovery.rs
+++ b/crates/silverproxy/tests/discovery.rs
@@ -97,3 +97,69 @@
     }
     assert!(spread >= 290, "only {spread} of 300 keep away from a discovery that is short of room");
 }
+
+/// What happens next in a play of an outage, with the moment before it.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Next {
+    Timer(TimerToken),
+    Job(u64),
+    CallFails,
+    CallIsAnswered,
+}
+
+/// One of three dispatchers whose watch breaks; each further call fails after `fails`, for 23 s, while it goes on serving.
+/// Returns when it asked, from the break on, and the dispatcher at the answer.
+fn outage(me: u32, fails: Micros, news: Member) -> (Vec<Micros>, Driver) {
+    let (mut d, _) = start(me, 3);
+    d.event(fleet(9));
+    let (down, mut asked) = (d.now, vec![]);
+    let mut due = std::collections::BTreeSet::from([(down, Next::CallFails), (down, Next::Job(1))]);
+    loop {
+        let (at, next) = due.pop_first().expect("jobs go on coming");
+        assert!(at < down + 60 * S, "it has given up asking");
+        d.now = at;
+        let done = match next {
+            Next::Timer(token) => d.event(Event::Timer(token)),
+            Next::CallFails => d.event(list(ListKind::Failed, [])),
+            Next::CallIsAnswered => {
+                d.event(list(ListKind::Changes, [news]));
+                return (asked, d);
+            }
+            Next::Job(id) => {
+                let worker = sent(&d.request(id, SAFE, &format!("key-{id}")));
+                assert!((1..=9).contains(&worker.0), "{worker:?} was never listed");
+                due.insert((at + 100 * MS, Next::Job(id + 1)));
+                d.event(outcome(id, 0, worker, Status::Ok))
+            }
+        };
+        due.extend(timers(&done).into_iter().map(|(at, token)| (at, Next::Timer(token))));
+        if asks(&done) > 0 {
+            asked.push(at - down);
+            let up = at >= down + 23 * S;
+            due.insert(if up { (at + MS, Next::CallIsAnswered) } else { (at + fails, Next::CallFails) });
+        }
+    }
+}
+
+/// A list out of reach for 23 s: each dispatcher serves on by the list that it has, never stops asking, and heeds what has
+/// changed once it is answered. All lost their watch in one moment, and must not call in one.
+#[test]
+fn a_list_out_of_reach_is_served_by_as_it_was_and_asked_for_again_until_it_is_back() {
+    let drains = || Member { state: MemberState::Draining, ..member(1) };
+    for fails in [5 * MS, S, 2 * S] {
+        let mut calls = vec![];
+        for me in 0..3 {
+            let (asked, mut d) = outage(me, fails, drains());
+            assert!(asked[0] <= 150 * MS, "the watch of {me} was opened anew after {} us", asked[0]);
+            let apart: Vec<Micros> = asked.windows(2).map(|pair| pair[1] - pair[0]).collect();
+            // A refusal at once invites no storm, and the longest pause is that of a herd.
+            assert!(apart.iter().all(|apart| (50 * MS..=15 * S + fails).contains(apart)), "{apart:?}");
+            assert!(asked.len() <= 14, "{} calls of {me}", asked.len());
+            let jobs = (10_000..10_200).map(|id| sent(&d.request(id, SAFE, &format!("key-{id}"))));
+            assert!({ jobs }.all(|worker| worker != WorkerId(1)), "a job went to a worker told to drain");
+            calls.extend(asked);
+        }
+        calls.sort();
+        assert!(calls.windows(3).all(|three| three[2] - three[0] >= 10 * MS), "all at once: {calls:?}");
+    }
+}
--- a/crates/silverproxy/tests/load.rs
+++ b/crates/silverproxy/tests/load.rs
@@ -4,7 +4,7 @@
 mod common;
 use common::*;
 use silverproxy::*;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Workers that tell neither start nor load take a queue of seconds before they refuse: their arcs are never even, and the
 /// owner of a popular key drowns while others idle. So own jobs are spread by size, each key as near its place as that allows.
@@ -94,3 +94,120 @@
     assert_ne!(first, second, "own load is spread");
     assert_eq!(sent(&d.event(outcome(2, 0, second, Status::Reset))), first);
 }
+
+/// Slots of each peer, and the peer that comes back cold.
+const SLOTS: usize = 5;
+const COLD: u64 = 4;
+
+fn cold_rules() -> Rules {
+    Rules { cold_share: 0.14, cold_time: 24 * S, fall_multiple: 2.5, fall_time: 3 * S, ..settings().rules }
+}
+
+/// Three schedulers without a word between them, at peers that tell neither start nor load unasked.
+fn strangers(seed: u64) -> Vec<Driver> {
+    let classes = [(Effect::Safe, 2.5), (Effect::Unsafe, 1.75)];
+    let classes =
+        classes.map(|(effect, stretch)| Class { aim: 200 * MS, stretch, late_share: 0.0, ..class(effect) });
+    let one = |me: u32| {
+        let fleet =
+            Settings { me, dispatchers: 3, zone: ZoneId(me), report_via: ReportVia::Probes, ..settings() };
+        let policy = Policy::new(
+            Settings { classes: classes.to_vec(), rules: cold_rules(), ..fleet },
+            3 * seed + u64::from(me),
+        );
+        let mut d = Driver { policy: policy.expect("sound settings"), now: 100 * S };
+        d.event(list(ListKind::Full, (1..=10).filter(|n| *n != COLD).map(member)));
+        d
+    };
+    (0..3).map(one).collect()
+}
+
+/// Plays them under so many times the load that the warm peers can carry, while one is cold. Returns the most work sent to
+/// it in any `fall_time`, as a multiple of what it can do in that span, and how often another had a slot idle meanwhile.
+fn flood_of_a_cold_peer(seed: u64, load: f64) -> (f64, usize) {
+    const TICK: Micros = 2 * MS;
+    struct Job {
+        from: usize,
+        id: u64,
+        left: f64,
+        until: Micros,
+    }
+    let mut all = strangers(seed);
+    let (start, rules) = (all[0].now, cold_rules());
+    let back = start + 3 * S;
+    let warmth = |at: Micros| {
+        rules.cold_share + (1.0 - rules.cold_share) * at.saturating_sub(back) as f64 / rules.cold_time as f64
+    };
+    let mut state = seed;
+    let mut random = || {
+        state = state.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        (state >> 33) as f64 / (1u64 << 31) as f64
+    };
+    let mut peers: BTreeMap<u64, Vec<Job>> = BTreeMap::new();
+    let (mut due, mut work, mut poured) =
+        (BTreeSet::<(Micros, usize, TimerToken)>::new(), vec![0.0], Vec::<(Micros, f64)>::new());
+    let (mut most, mut idle) = (0.0f64, 0);
+    for now in (start..back + rules.cold_time).step_by(TICK as usize) {
+        let mut events = Vec::new();
+        if now == back {
+            let cold = || list(ListKind::Changes, [Member { born: back, ..member(COLD) }]);
+            events.extend((0..3).map(|from| (from, cold())));
+        }
+        for (peer, jobs) in &mut peers {
+            let pace = if *peer == COLD { warmth(now) } else { 1.0 };
+            jobs.iter_mut().take(SLOTS).for_each(|job| job.left -= TICK as f64 * pace);
+            jobs.retain(|job| {
+                let status = if job.left <= 0.0 { Status::Ok } else { Status::Timeout };
+                let over = job.left <= 0.0 || job.until <= now;
+                events.extend(over.then(|| (job.from, outcome(job.id, 0, WorkerId(*peer), status))));
+                !over
+            });
+        }
+        while due.first().is_some_and(|(at, ..)| *at <= now) {
+            let (_, from, token) = due.pop_first().expect("just seen");
+            events.push((from, Event::Timer(token)));
+        }
+        // Nine peers at jobs of 225 ms on average.
+        if random() < load * (9 * SLOTS) as f64 * TICK as f64 / (225 * MS) as f64 {
+            let (id, class, key) =
+                (work.len() as u64, u32::from(random() < 0.5), 60f64.powf(random()) as u64);
+            work.push([300.0, 150.0][class as usize] * MS as f64 * -random().clamp(1e-9, 0.99).ln());
+            let job = request(id, class, &format!("key-{key}"), now + 5 * S);
+            let expected_work = Some(work[id as usize] as Micros);
+            events.push(((random() * 3.0) as usize, Event::Request(Request { expected_work, ..job })));
+        }
+        for (from, event) in events {
+            for action in all[from].at(now, event) {
+                match action {
+                    Action::Send { request: RequestId(id), worker, timeout } => {
+                        let (left, until) =
+                            (work[id as usize], now + timeout.expect("late work is worth nothing"));
+                        peers.entry(worker.0).or_default().push(Job { from, id, left, until });
+                        poured.extend((worker.0 == COLD).then_some((now, left)));
+                    }
+                    Action::SetTimer { at, token } => _ = due.insert((at, from, token)),
+                    _ => {}
+                }
+            }
+        }
+        if now >= back + rules.fall_time {
+            let sent: f64 =
+                poured.iter().filter(|sent| sent.0 + rules.fall_time > now).map(|sent| sent.1).sum();
+            let able = SLOTS as f64 * warmth(now - rules.fall_time / 2) * rules.fall_time as f64;
+            most = most.max(sent / able);
+            idle += peers.iter().filter(|(peer, jobs)| **peer != COLD && jobs.len() < SLOTS).count();
+        }
+    }
+    (most, idle)
+}
+
+/// What topples a cold peer is the sum of what all send it, and none of three that may not talk knows of the others. Each keeps
+/// to the part that the peer is warm for, so that the sum holds without a word, twice the load that the others can carry included.
+#[test]
+fn three_strangers_together_send_a_cold_peer_less_than_what_topples_it() {
+    for seed in 1..=5 {
+        let (most, idle) = flood_of_a_cold_peer(seed, 2.0);
+        assert_eq!(idle, 0, "the load left slots of the others idle");
+        assert!(most < cold_rules().fall_multiple, "{most} times what it can do, seed {seed}");
+    }
+}
