Tell in tests when an unsafe job goes on after a break, and how soon a silent watch is opened anew

What the daemon does at a break before the last byte, and the time to the next call after a silent watch, were held by no story.

Change: tests alone, in tests/parts.rs: module, engine, upstream group, request's life and discovery in one process. A story over the whole daemon was tried first: with the smallest window that a peer may set, the kernel still takes the largest body that a client may send, so a break before the last byte can't be played there. Here the body is 16 MiB. The watch's time passes on the runtime's paused clock.

--- /dev/null
+++ b/crates/vetchbridge/tests/parts.rs
@@ -0,0 +1,174 @@
+//! The module with the parts of the daemon that carry for it, in one process: what a story over the whole daemon can't show,
+//! since the time would have to pass, or the kernel would take a whole body that a client may send. No bench is needed.
+#![allow(missing_docs)]
+
+use bytes::Bytes;
+use hyper::http::uri::PathAndQuery;
+use platform::wire::Wire;
+use rstest::rstest;
+use serde_json::{json, Value};
+use silverproxy::interface::*;
+use silverproxy::policy::Policy;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::io::AsyncReadExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver};
+use tokio::time::Instant;
+use vetchbridge::ask::Ask;
+use vetchbridge::config::read_text;
+use vetchbridge::discovery::Discovery;
+use vetchbridge::engine::Engine;
+use vetchbridge::kin::Kin;
+use vetchbridge::listing::{Roster, Source};
+use vetchbridge::request::{submit, Answer, Job};
+use vetchbridge::snapshot::Current;
+use vetchbridge::upstream::{Callback, Parcel, UpstreamGroup};
+
+/// A story that stands still fails.
+const HANG: Duration = Duration::from_secs(60);
+
+/// One of so many schedulers, its list from a scripted discovery.
+struct Parts {
+    engine: Arc<Engine>,
+    upstream: Arc<UpstreamGroup>,
+    current: Arc<Current>,
+    asks: Option<UnboundedReceiver<Ask>>,
+    discovery: TcpListener,
+}
+
+impl Parts {
+    async fn of(schedulers: u32) -> Parts {
+        let discovery = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let class = json!({"name": "receipt", "repeat": "unsafe", "aim": 500_000, "deadline": 60_000_000});
+        let document = json!({"name": "n0", "listen": "127.0.0.1:0", "seed": "5eed",
+            "discovery": discovery.local_addr().expect("bound").to_string(),
+            "settings": {"me": 0, "balancers": schedulers, "areas": ["a"], "kinds": ["m"], "zone": 0, "tick": 4000,
+                "discovery": "ask", "services": [class], "limits": {"max_attempts": 4, "may_cancel": true},
+                "rules": {"stop_sending_within": 500_000, "start_capacity": 0.2, "cold": 24_000_000,
+                          "tip_multiple": 2.5, "fall": 2_000_000}}});
+        let config = read_text("parts", &document.to_string()).expect("it reads").config;
+        let policy = Policy::new(config.snapshot.settings.clone(), config.seed).expect("sound settings");
+        let upstream = Arc::new(UpstreamGroup::new(HANG, HANG, 1));
+        let (asks, asked) = unbounded_channel();
+        let engine = Engine::new(policy, upstream.clone(), asks, unbounded_channel().0);
+        tokio::spawn(engine.clone().run_timers());
+        Parts {
+            engine,
+            upstream,
+            current: Arc::new(Current::new(config.snapshot)),
+            asks: Some(asked),
+            discovery,
+        }
+    }
+
+    /// Begins to follow the list, which is this one as last held.
+    fn follow(&mut self, instances: Value) {
+        let known = json!({"generation": 1, "reset": true, "instances": instances});
+        let known = (serde_json::from_value(known).expect("a list"), true);
+        let source = Source::Service(self.discovery.local_addr().expect("bound"));
+        let roster = Arc::new(Mutex::new(Roster::default()));
+        let (current, engine, upstream) = (self.current.clone(), self.engine.clone(), self.upstream.clone());
+        let discovery = Discovery::start(source, current, known, engine, upstream, roster);
+        tokio::spawn(discovery.run(self.asks.take().expect("followed once")));
+    }
+}
+
+fn instance(name: &str, address: SocketAddr) -> Value {
+    json!({"instanceId": name, "hostPort": address.to_string(), "zone": "a", "machineType": "m", "lifecycle": "up"})
+}
+
+/// Reads so many bytes more.
+async fn take(stream: &mut TcpStream, bytes: usize) -> Vec<u8> {
+    let mut taken = vec![0; bytes];
+    stream.read_exact(&mut taken).await.expect("the daemon writes");
+    taken
+}
+
+/// Whether a job that must not run twice goes on is a matter of its last byte alone: a connection that breaks before it was
+/// written carried nothing that a peer may begin; one that breaks after it ends the job, which is not sent again.
+#[rstest]
+#[case::before(16 << 20, 1, true)]
+#[case::after(4, 4, false)]
+#[timeout(HANG)]
+#[tokio::test]
+async fn an_unsafe_job_goes_on_only_from_a_break_before_its_last_byte(
+    #[case] length: usize,
+    #[case] read: usize,
+    #[case] goes_on: bool,
+) {
+    let mut parts = Parts::of(1).await;
+    let (a, b) = (TcpListener::bind("127.0.0.1:0").await, TcpListener::bind("127.0.0.1:0").await);
+    let (a, b) = (a.expect("a port"), b.expect("a port"));
+    parts.follow(json!([instance("s-a", a.local_addr().unwrap()), instance("s-b", b.local_addr().unwrap())]));
+    let id = "00000000000000ab";
+    let request = Request {
+        id: RequestId(0xab),
+        class: ClassId(0),
+        tenant: TenantId(0),
+        key: Some("k".to_string()),
+        due: parts.engine.clock.now() + 60_000_000,
+        expected_work: None,
+        slots: 1.0,
+        retry: false,
+    };
+    // No socket's buffers hold the long one.
+    let (target, body) = (PathAndQuery::from_static("/receipt/k"), Bytes::from(vec![b'w'; length]));
+    let parcel = Parcel { id: id.to_string(), target, idempotency_key: None, body };
+    let job = Job { request, parcel, settings: parts.current.get(), room: None };
+    let mut answer = submit(parts.engine.clone(), parts.upstream.clone(), Arc::new(Kin::default()), job);
+
+    let accept = || async {
+        let (accepted, name) =
+            tokio::select! { to = a.accept() => (to, "s-a"), to = b.accept() => (to, "s-b") };
+        let (mut stream, mut head) = (accepted.expect("a connection").0, Vec::new());
+        while !head.ends_with(b"\r\n\r\n") {
+            head.extend(take(&mut stream, 1).await);
+        }
+        assert!(String::from_utf8_lossy(&head).contains(id));
+        (stream, name)
+    };
+    let (mut stream, first) = accept().await;
+    take(&mut stream, read).await;
+    Wire::new(stream).reset();
+    if goes_on {
+        let (mut stream, second) = accept().await;
+        assert_ne!(first, second);
+        take(&mut stream, length).await;
+        Wire::new(stream).answer(202, "", "").await.expect("it is read");
+        let done = json!({"id": id, "from": second, "state": "done", "result": "made"}).to_string();
+        assert!(parts.upstream.called_back(&serde_json::from_str::<Callback>(&done).expect("a callback")));
+        assert_eq!(answer.await.expect("an answer"), Answer::Served("made".into()));
+    } else {
+        tokio::select! {
+            biased;
+            _ = accept() => panic!("it was sent again"),
+            answer = &mut answer => assert_eq!(answer.expect("an answer"), Answer::Failed),
+        }
+        // Its life has ended: there is nobody left to send it.
+        while parts.engine.requests() > 0 {
+            tokio::task::yield_now().await;
+        }
+    }
+}
+
+/// What a silent watch missed counts as told 6 s after its call, so that it has to be opened anew before that, however many
+/// schedulers share the service. The watch before it was answered: it is one alone, and no herd.
+#[rstest]
+#[timeout(HANG)]
+#[tokio::test(start_paused = true)]
+async fn a_silent_watch_is_opened_anew_before_its_news_counts_as_told() {
+    let mut parts = Parts::of(300).await;
+    parts.follow(json!([]));
+    let mut wire = Wire::new(parts.discovery.accept().await.expect("the watch").0);
+    let asked = |call: Option<platform::wire::Message>| call.expect("a call").target().to_string();
+    assert!(asked(wire.read().await).contains("index=1&wait="));
+    wire.answer(200, "", r#"{"generation":2,"reset":false,"instances":[]}"#).await.expect("it is read");
+    assert!(asked(wire.read().await).contains("index=2&wait="));
+    let called = Instant::now();
+    // Not a byte more: the connection stays open and silent.
+    let mut next = Wire::new(parts.discovery.accept().await.expect("the next watch").0);
+    assert!(asked(next.read().await).contains("index=2&wait="), "from the version that it has");
+    assert!(called.elapsed() < Duration::from_secs(6), "{:?} after the call", called.elapsed());
+}
