--- /dev/null
+++ b/crates/vetchbridge/src/clients/front.rs
@@ -0,0 +1,303 @@
+//! The front: the listener, and the calls of clients and callbacks that come in on it.
+//!
+//! Makes a call a [`Job`](crate::request::Job) and an [`Answer`] HTTP; what is malformed is rejected before the module
+//! hears of it. It must never hold a request back, answer for the module, or pass on a request whose framing or meaning
+//! is in doubt.
+
+use super::connection::{ClientConnection, Watched};
+use super::connections::{ClientConnections, Elsewhere, Place};
+use super::framing::HEAD_LIMIT;
+use super::{body, job};
+use crate::engine::Engine;
+use crate::operators::admin;
+use crate::operators::life::Life;
+use crate::peers::{Callback, UpstreamGroup};
+use crate::request::{submit, Answer};
+use crate::snapshot::Current;
+use crate::upgrade::kin::Kin;
+use crate::upgrade::words::Word;
+use axum::body::Body;
+use axum::extract::{Extension, Request as HttpRequest, State};
+use axum::http::header::{CONNECTION, RETRY_AFTER};
+use axum::http::{HeaderValue, Method, StatusCode};
+use axum::response::{IntoResponse, Response};
+use axum::routing::{get, post};
+use axum::Router;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use std::convert::Infallible;
+use std::os::fd::OwnedFd;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
+use tokio::sync::Semaphore;
+use tokio::time::{sleep_until, Instant};
+use tower_service::Service;
+use tracing::{debug, warn};
+
+/// Pause after a failed accept; descriptors come back as answers go out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// How often connections are looked through for those that have used up their time.
+const SWEEP: Duration = Duration::from_millis(100);
+
+/// A client connection from another process, and whether it has had an answer there.
+type Adopted = (OwnedFd, bool);
+
+/// See the head of this file.
+pub struct Front {
+    engine: Arc<Engine>,
+    upstream: Arc<UpstreamGroup>,
+    current: Arc<Current>,
+    life: Arc<Life>,
+    kin: Arc<Kin>,
+    /// Client connections that another process has served so far, and whether they have had an answer.
+    adopted: (UnboundedSender<Adopted>, Mutex<Option<UnboundedReceiver<Adopted>>>),
+    connections: ClientConnections,
+    /// Memory for the bodies of jobs, from their arrival to their end, and of callbacks; apart, so that jobs
+    /// can't keep callbacks out.
+    job_room: Arc<Semaphore>,
+    callback_room: Arc<Semaphore>,
+}
+
+impl Front {
+    /// A front that takes work; `sockets` is the limit on descriptors, `memory` that on bytes.
+    pub fn new(
+        engine: Arc<Engine>,
+        upstream: Arc<UpstreamGroup>,
+        current: Arc<Current>,
+        sockets: usize,
+        memory: usize,
+        life: Arc<Life>,
+        kin: Arc<Kin>,
+    ) -> Arc<Front> {
+        let (adopted, adoptions) = unbounded_channel();
+        let connections = ClientConnections::new(sockets, admin::callers(sockets), upstream.connections());
+        Arc::new(Front {
+            engine,
+            upstream,
+            current,
+            life,
+            kin,
+            adopted: (adopted, Mutex::new(Some(adoptions))),
+            connections,
+            job_room: body::room(memory),
+            callback_room: body::room(memory),
+        })
+    }
+
+    /// Whether any call is still owed its answer. One that has not fully arrived is not.
+    pub fn owes(&self) -> bool {
+        self.connections.owe() || self.engine.requests() > 0
+    }
+
+    /// How many client connections there are.
+    pub fn connections(&self) -> usize {
+        self.connections.count()
+    }
+
+    fn elsewhere(&self) -> Elsewhere {
+        Elsewhere { processes: self.kin.processes(), connections: self.kin.connections() }
+    }
+
+    /// Goes on with a client connection that another process has served so far.
+    pub fn adopt(&self, connection: OwnedFd, kept: bool) {
+        // Nobody receives once the listener has gone, with the process.
+        let _ = self.adopted.0.send((connection, kept));
+    }
+
+    /// Accepts connections until the program ends, but for the time that a successor does.
+    pub async fn serve(self: Arc<Self>, listener: TcpListener) {
+        let router = Router::new()
+            .route("/health/ready", get(ready))
+            .route("/callback", post(callback))
+            .fallback(take)
+            .with_state(self.clone());
+        let adoptions = self.adopted.1.lock().unwrap_or_else(PoisonError::into_inner).take();
+        let Some(mut adoptions) = adoptions else { return };
+        let mut sweep = tokio::time::interval(SWEEP);
+        let mut successor = self.kin.successor();
+        loop {
+            let alone = successor.borrow_and_update().is_none();
+            // Until then a newcomer waits with the kernel: those just before it have not had the time to speak.
+            let relief = self.connections.relief(self.elsewhere());
+            let (accepted, kept) = tokio::select! {
+                () = sleep_until(relief.unwrap_or_else(Instant::now)), if relief.is_some() => continue,
+                accepted = listener.accept(), if alone && relief.is_none() => (accepted.map(|(stream, _)| stream), None),
+                Some((connection, kept)) = adoptions.recv() => {
+                    (TcpStream::from_std(connection.into()), Some(kept))
+                }
+                _ = sweep.tick() => {
+                    self.connections.sweep(self.elsewhere());
+                    continue;
+                }
+                _ = successor.changed() => continue,
+            };
+            match accepted {
+                Ok(stream) => {
+                    tokio::spawn(self.clone().client_connection(stream, kept, router.clone()));
+                    // In a burst, each is read before the next one may have to take its place.
+                    tokio::task::yield_now().await;
+                }
+                Err(error) => {
+                    warn!(%error, "accept.failed");
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    /// A client connection's life here: to its end, or until a successor goes on with it. `kept`: another process has
+    /// served it so far, and has or has not answered on it.
+    async fn client_connection(self: Arc<Self>, stream: TcpStream, kept: Option<bool>, router: Router) {
+        let Some(Place { connection, .. }) = &self.connections.place(self.elsewhere()) else {
+            return debug!("connection.refused");
+        };
+        if kept == Some(true) {
+            connection.keep();
+        }
+        if let Err(error) = stream.set_nodelay(true) {
+            debug!(%error, "connection.nodelay");
+        }
+        let service = service_fn(|request| self.respond(request, connection, router.clone()));
+        let io = TokioIo::new(Watched { stream, connection: connection.clone() });
+        let mut serving = http1::Builder::new().max_buf_size(HEAD_LIMIT).serve_connection(io, service);
+        let mut state = self.life.subscribe();
+        let mut successor = self.kin.successor();
+        let mut closing = false;
+        let served = loop {
+            let succeeded = async {
+                loop {
+                    drop(successor.wait_for(Option::is_some).await);
+                    connection.rests().await;
+                    // It may have gone again while a request was in flight.
+                    if self.kin.has_successor() {
+                        return;
+                    }
+                }
+            };
+            tokio::select! {
+                // First what has been read: a connection chosen to make room may have a request in hand.
+                biased;
+                served = Pin::new(&mut serving) => break served,
+                () = connection.ended() => return debug!("connection.evicted"),
+                () = async { drop(state.wait_for(|state| state.closes_idle()).await) }, if !closing => {
+                    closing = true;
+                    // One that has never been answered may have its request on the way: the answer will close it.
+                    if connection.kept() && !self.kin.has_successor() {
+                        Pin::new(&mut serving).graceful_shutdown();
+                    }
+                }
+                () = succeeded => {
+                    let stream = serving.into_parts().io.into_inner().stream;
+                    return self.pass(stream, connection.kept());
+                }
+            }
+        };
+        if let Err(error) = served {
+            debug!(%error, "connection.broke");
+        }
+    }
+
+    /// Gives a client connection between two requests to the successor. What the client writes meanwhile stays in the
+    /// socket.
+    fn pass(&self, stream: TcpStream, kept: bool) {
+        let (successor, descriptor) = (self.kin.successor().borrow().clone(), stream.into_std());
+        let passed = descriptor
+            .map(|stream| successor.is_some_and(|to| to.say(Word::Connection { kept }, vec![stream.into()])));
+        debug!(?passed, "connection.passed");
+    }
+
+    async fn respond(
+        &self,
+        mut request: hyper::Request<Incoming>,
+        connection: &Arc<ClientConnection>,
+        mut router: Router,
+    ) -> Result<Response, Infallible> {
+        let mut response = if connection.ambiguous() {
+            (StatusCode::BAD_REQUEST, "content-length beside transfer-encoding\n").into_response()
+        } else {
+            request.extensions_mut().insert(connection.clone());
+            router.call(request.map(Body::new)).await?
+        };
+        connection.answered();
+        let stays = self.kin.has_successor() || !self.life.state().hangs_up();
+        if !stays || connection.last() {
+            response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        Ok(response)
+    }
+}
+
+async fn ready(State(front): State<Arc<Front>>) -> StatusCode {
+    // With a successor the scheduler goes on, whatever becomes of this process; operators may have drained it.
+    let succeeded = front.kin.has_successor() && !front.life.quiesced();
+    if succeeded || front.life.state().ready() {
+        StatusCode::OK
+    } else {
+        StatusCode::SERVICE_UNAVAILABLE
+    }
+}
+
+async fn callback(
+    State(front): State<Arc<Front>>,
+    Extension(connection): Extension<Arc<ClientConnection>>,
+    request: HttpRequest,
+) -> Response {
+    let (body, _room) = match body::read(request.into_body(), &connection, &front.callback_room).await {
+        Ok(read) => read,
+        Err(refused) => return refused.into_response(),
+    };
+    match serde_json::from_slice::<Callback>(&body) {
+        Ok(callback) => {
+            if !front.upstream.called_back(&callback) && !front.kin.forward(&callback, None).await {
+                debug!(request = callback.id, peer = callback.from, "callback.late");
+            }
+            StatusCode::OK.into_response()
+        }
+        Err(error) => {
+            warn!(%error, "callback.unreadable");
+            (StatusCode::BAD_REQUEST, "unreadable callback\n").into_response()
+        }
+    }
+}
+
+async fn take(
+    State(front): State<Arc<Front>>,
+    Extension(connection): Extension<Arc<ClientConnection>>,
+    request: HttpRequest,
+) -> Response {
+    if request.method() != Method::POST {
+        return (StatusCode::METHOD_NOT_ALLOWED, "jobs arrive by POST\n").into_response();
+    }
+    let (parts, body) = request.into_parts();
+    let (body, room) = match body::read(body, &connection, &front.job_room).await {
+        Ok(read) => read,
+        Err(refused) => return refused.into_response(),
+    };
+    if !front.life.state().takes() {
+        return (StatusCode::SERVICE_UNAVAILABLE, "ending\n").into_response();
+    }
+    let job = match job::read(&parts, body, room, front.current.get(), front.engine.clock.now()) {
+        Ok(job) => job,
+        Err(reason) => return (StatusCode::BAD_REQUEST, format!("{reason}\n")).into_response(),
+    };
+    // Dropped by hyper when the client closes its connection, and the receiver with it.
+    let answer = submit(front.engine.clone(), front.upstream.clone(), front.kin.clone(), job).await;
+    render(answer.unwrap_or(Answer::Failed))
+}
+
+fn render(answer: Answer) -> Response {
+    match answer {
+        Answer::Served(result) => (StatusCode::OK, result).into_response(),
+        Answer::Reject { retry_after: 0 } => StatusCode::SERVICE_UNAVAILABLE.into_response(),
+        Answer::Reject { retry_after } => {
+            let seconds = format!("{:.3}", retry_after as f64 / 1e6);
+            (StatusCode::SERVICE_UNAVAILABLE, [(RETRY_AFTER, seconds)]).into_response()
+        }
+        Answer::Failed => StatusCode::BAD_GATEWAY.into_response(),
+        Answer::Duplicate => StatusCode::CONFLICT.into_response(),
+    }
+}
--- /dev/null
+++ b/crates/vetchbridge/src/clients/mod.rs
@@ -0,0 +1,16 @@
+//! Everything on the clients' side: the listener, the connections it accepts, and the HTTP on them.
+//!
+//! This room owns what a client or a callback can see of the daemon. It must never choose a peer or speak to one.
+
+mod body;
+mod connection;
+mod connections;
+mod framing;
+pub mod front;
+mod job;
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/vetchbridge/tests/parts.rs
+++ b/crates/vetchbridge/tests/parts.rs
@@ -16,15 +16,15 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver};
 use tokio::time::Instant;
-use vetchbridge::ask::Ask;
 use vetchbridge::config::read_text;
-use vetchbridge::discovery::Discovery;
 use vetchbridge::engine::Engine;
-use vetchbridge::kin::Kin;
-use vetchbridge::listing::{Roster, Source};
+use vetchbridge::list::ask::Ask;
+use vetchbridge::list::discovery::Discovery;
+use vetchbridge::list::listing::{Roster, Source};
+use vetchbridge::peers::{Callback, Parcel, UpstreamGroup};
 use vetchbridge::request::{submit, Answer, Job};
 use vetchbridge::snapshot::Current;
-use vetchbridge::upstream::{Callback, Parcel, UpstreamGroup};
+use vetchbridge::upgrade::kin::Kin;
 
 /// A story that stands still fails.
 const HANG: Duration = Duration::from_secs(60);
