Let the pause before the next call for the list grow no more than fourfold over the spread

Cause: in `ask_later` the spread of a herd doubled with each failed call up to 10 s, whatever the number of schedulers that make the herd: 120 ms for three became 10 s as 5 s for a hundred did.

Change: the spread doubles twice at most. From 42 schedulers on nothing changes (10 s is reached by then); three ask every 0.5 to 1.5 s.

Test: a_list_out_of_reach_is_served_by_as_it_was_and_asked_for_again_until_it_is_back, with 1.5 s where it had to allow 15 s.

--- a/crates/silverproxy/src/policy.rs
+++ b/crates/silverproxy/src/policy.rs
@@ -431,7 +431,7 @@
         let spread = (ASK_SPREAD.0 * u64::from(self.settings.dispatchers - 1)).min(ASK_SPREAD.1);
         // A watch that breaks after it had an answer broke alone, until the call for the next one fails too.
         let again = self.asked.saturating_sub(1).min(8);
-        let herd = if self.asked == 0 { 0 } else { (spread << again).min(ASK_SPREAD.2) };
+        let herd = if self.asked == 0 { 0 } else { (spread << again.min(2)).min(ASK_SPREAD.2) };
         let wait = (ASK_AGAIN.0 << again).min(ASK_AGAIN.1).max(herd);
         let random = self.random();
         let pause = if first { spread as f64 * random } else { wait as f64 * (0.5 + random) } as Micros;
