Sum own load only where nothing tells of it; share the kit tests' search for the daemon

Seen on reading the change as a stranger: `own_bound` summed all peers for each candidate of each job before it looked whether something tells of the load, so that a fleet with keepers or starts paid for a sum that it never used; the kit's two test files held the same function to find the daemon.

Change: the sum is made where it is needed; one tests/common for the kit. No behaviour changes.

--- a/crates/silverproxy/src/policy.rs
+++ b/crates/silverproxy/src/policy.rs
@@ -629,11 +629,11 @@
     /// Own slots out at which a worker is busy where nothing tells how full it is: its share of all of them,
     /// if they were spread by what the workers can do now.
     fn own_bound(&self, now: Micros, at: usize) -> Option<f64> {
+        let told = self.workers[at].tells_start || self.workers[at].held(now).is_some();
         let able = |w: &Worker| w.units * w.warmth(now, &self.settings.rules);
         let ready = self.workers.iter().filter(|w| w.ready).map(|w| (w.own_slots(), able(w)));
-        let (out, all) = ready.fold((1.0, 0.0), |sum, one| (sum.0 + one.0, sum.1 + one.1));
-        let told = self.workers[at].tells_start || self.workers[at].held(now).is_some();
-        (!told).then(|| OWN_SHARE * out * able(&self.workers[at]) / all)
+        let share = |(out, all): (f64, f64)| OWN_SHARE * out * able(&self.workers[at]) / all;
+        (!told).then(|| share(ready.fold((1.0, 0.0), |sum, one| (sum.0 + one.0, sum.1 + one.1))))
     }
 
     fn hold(&mut self, now: Micros, id: RequestId, actions: &mut Vec<Action>) {
--- a/crates/vetchbridge/src/clients/connections.rs
+++ b/crates/vetchbridge/src/clients/connections.rs
@@ -17,6 +17,7 @@
 const SPARE: usize = 8;
 /// Clients have this share of the limit whatever the peers hold.
 const AT_LEAST: usize = 4;
+
 /// What other processes of this scheduler hold of the same budget.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Elsewhere {
--- a/crates/vetchbridge/src/peers/mod.rs
+++ b/crates/vetchbridge/src/peers/mod.rs
@@ -40,6 +40,7 @@
 /// How long a probe may take, dial included. A peer that has let one wait in its queue for 500 ms turns it away; what it
 /// says then is still read, which keeps the connection, and a peer that says nothing by now is not going to.
 const PROBE_WAIT: Duration = Duration::from_millis(600);
+
 /// How an attempt ended.
 #[derive(Debug, PartialEq, Eq)]
 pub enum Ended {
--- a/crates/vetchkit/tests/commands.rs
+++ b/crates/vetchkit/tests/commands.rs
@@ -1,21 +1,13 @@
 //! The kit as its users meet it: real schedulers under load and under SIGKILL, bad input, a machine that can't, Ctrl-C.
 #![allow(missing_docs)]
 
+mod common;
+
+use common::daemon;
 use serde_json::Value;
 use std::io::{BufRead, BufReader, Read};
-use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
 
-/// The daemon beside the kit; built if only the kit's tests were asked for.
-fn daemon() -> PathBuf {
-    let path = Path::new(env!("CARGO_BIN_EXE_vetchkit")).with_file_name("vetchbridge");
-    if !path.is_file() {
-        let built = Command::new(env!("CARGO")).args(["build", "--locked", "-p", "vetchbridge"]).status();
-        assert!(built.expect("cargo runs").success());
-    }
-    path
-}
-
 fn vetchkit(arguments: &[&str]) -> Command {
     let mut command = Command::new(env!("CARGO_BIN_EXE_vetchkit"));
     command.args(arguments).stdin(Stdio::null());
--- a/crates/vetchkit/tests/deployment.rs
+++ b/crates/vetchkit/tests/deployment.rs
@@ -2,12 +2,14 @@
 //! misbehaving and its list out of reach.
 #![allow(missing_docs)]
 
+mod common;
+
+use common::daemon;
 use platform::account::{judge, Verdict, Violation};
 use platform::client::Clients;
 use platform::discovery::Health;
 use platform::peer::Act;
-use std::path::{Path, PathBuf};
-use std::process::Command;
+use std::path::Path;
 use std::time::Duration;
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout, Instant};
@@ -23,15 +25,6 @@
 /// ... for so long.
 const OUT_FOR: Duration = Duration::from_secs(2);
 
-fn daemon() -> PathBuf {
-    let path = Path::new(env!("CARGO_BIN_EXE_vetchkit")).with_file_name("vetchbridge");
-    if !path.is_file() {
-        let built = Command::new(env!("CARGO")).args(["build", "--locked", "-p", "vetchbridge"]).status();
-        assert!(built.expect("cargo runs").success());
-    }
-    path
-}
-
 /// Every way in which a peer leaves it open, or says, whether a job ran, at each peer and more than once.
 fn acts() -> Vec<Act> {
     let once = [
