--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 CONFIG ?= vetchbridge.toml
 DEMO ?=
 
-.PHONY: build kit test lint run demo bench
+.PHONY: build kit test lint run demo bench sites
 
 # The daemon and the simulator's adapter, and nothing of the kit.
 build:
@@ -28,3 +28,9 @@
 # The daemon's processor time a request beside a bare relay's.
 bench: kit
 	target/release/vetchkit bench
+
+# The bench reads three files of its own beside a site file. KIT names the folder that holds them; git ignores the copies.
+sites:
+	@test -n "$(KIT)" || { echo "make sites KIT=FOLDER: the folder with the bench's real.json, wire.json and unlock.txt"; exit 2; }
+	cp "$(KIT)/real.json" "$(KIT)/wire.json" "$(KIT)/unlock.txt" deploy/sites/
+	chmod u+w deploy/sites/real.json deploy/sites/wire.json deploy/sites/unlock.txt
