--- /dev/null
+++ b/crates/vetchbridge/tests/common/mod.rs
@@ -0,0 +1,261 @@
+//! The stage of the socket stories: the daemon as a process, among scripted peers, discovery and clients.
+//!
+//! Owns the process and the listeners of one story. It must never wait for time to pass, nor judge an answer but where
+//! its own part in the story depends on it. Each story's file uses the part of it that it needs.
+#![allow(dead_code, missing_docs)]
+
+use futures_util::future::select_all;
+use platform::wire::{Message, Wire};
+use serde_json::{json, Value};
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver};
+
+/// A story that stands still fails; none of them measures time.
+pub const HANG: Duration = Duration::from_secs(60);
+/// The limit on descriptors that the daemon is held to.
+pub const SOCKETS: u32 = 64;
+/// Where a process of this scheduler hands over, within its folder.
+pub const HANDOVER: &str = "vetchbridge-n0.handover";
+pub const ACCEPTED: &str = "HTTP/1.1 202 Accepted\r\ncontent-length: 0\r\n\r\n";
+
+/// What a story needs of a connection beyond speaking.
+pub trait Speak {
+    async fn send(&mut self, text: &str);
+    async fn hand_in(&mut self, target: &str, headers: &str, body: &str);
+    /// A discovery call, by its target.
+    async fn asked(&mut self) -> String;
+    async fn list(&mut self, generation: u32, instances: Value);
+}
+
+impl Speak for Wire {
+    async fn send(&mut self, text: &str) {
+        self.write(text).await.expect("the other side reads");
+    }
+
+    async fn hand_in(&mut self, target: &str, headers: &str, body: &str) {
+        self.post(target, headers, body).await.expect("the other side reads");
+    }
+
+    async fn asked(&mut self) -> String {
+        self.read().await.expect("a call").target().to_string()
+    }
+
+    async fn list(&mut self, generation: u32, instances: Value) {
+        let body = json!({"generation": generation, "reset": true, "instances": instances}).to_string();
+        self.answer(200, "", &body).await.expect("the other side reads");
+    }
+}
+
+pub async fn dial(address: SocketAddr) -> Wire {
+    Wire::dial(address).await.expect("the daemon listens")
+}
+
+pub fn status(answer: &Option<Message>) -> &str {
+    answer.as_ref().expect("an answer").status()
+}
+
+pub fn instance(number: usize, address: SocketAddr, lifecycle: &str) -> Value {
+    json!({"instanceId": format!("s-{number}"), "hostPort": address.to_string(), "zone": "a", "machineType": "m",
+           "cell": 0, "lifecycle": lifecycle, "weight": 1.0, "startedAtMs": 0})
+}
+
+/// A configuration with two attempts a request and one class of each effect.
+pub fn config(discovery: SocketAddr, instances: Value) -> Value {
+    let class = |name: &str, repeat: &str| {
+        json!({"name": name, "repeat": repeat, "group": "all", "window": 5_000_000, "aim": 500_000,
+               "deadline": 60_000_000, "importance": 1.0, "late_share": 0.5})
+    };
+    json!({"name": "n0", "listen": "127.0.0.1:0", "admin": "127.0.0.1:0", "discovery": discovery.to_string(), "seed": "8c1f30d27a5be964",
+        "limits": {"sockets": SOCKETS}, "known": {"generation": 1, "reset": true, "instances": instances},
+        "settings": {"me": 0, "balancers": 1, "areas": ["a"], "kinds": ["m"], "zone": 0, "tick": 4000,
+            "discovery": "ask", "services": [class("safe", "safe"), class("unsafe", "unsafe"), class("keyed", "keyed")],
+            "limits": {"max_attempts": 2, "may_cancel": true, "dial_timeout": 2_000_000, "retry_after": true,
+                       "max_retry_after": 2_000_000},
+            "rules": {"stop_sending_within": 500_000, "start_capacity": 0.2, "cold": 24_000_000,
+                      "tip_multiple": 2.5, "fall": 2_000_000}}})
+}
+
+/// The daemon about to start, and the path of its configuration.
+pub fn daemon(config: &str) -> (Command, PathBuf) {
+    static FILES: AtomicU32 = AtomicU32::new(0);
+    let number = FILES.fetch_add(1, Ordering::Relaxed);
+    let name = format!("{}-{number}.json", std::process::id());
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::write(&path, config).expect("written");
+    let told: Value = serde_json::from_str(config).unwrap_or_default();
+    let sockets = told["limits"]["sockets"].as_u64().unwrap_or(SOCKETS.into());
+    let mut command = Command::new("sh");
+    command.args(["-c", &format!("ulimit -n {sockets}; exec {}", env!("CARGO_BIN_EXE_vetchbridge"))]);
+    command.env_clear().env("BALANCER_CONFIG", &path).stderr(Stdio::piped());
+    (command, path)
+}
+
+/// One process of the daemon; killed when dropped.
+pub struct Process {
+    pub child: Child,
+    pub config: PathBuf,
+    pub address: SocketAddr,
+    pub admin: SocketAddr,
+    pub log: UnboundedReceiver<String>,
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Process {
+    /// Starts one and waits until it listens; `folder` is where it finds a predecessor.
+    pub fn start(config: &Value, folder: &Path) -> Process {
+        let (mut command, path) = daemon(&config.to_string());
+        // As on the platform: the variable is as old as the process, and must not outlive a reload.
+        let told = config["discovery"].as_str().expect("an address");
+        command.env("BALANCER_DISCOVERY", told).env("TMPDIR", folder);
+        let mut child = command.spawn().expect("the daemon starts");
+        let mut log = BufReader::new(child.stderr.take().expect("piped")).lines();
+        let mut seen = Vec::new();
+        let mut listens = |event: &str| -> SocketAddr {
+            let line = log.by_ref().map_while(Result::ok).inspect(|line| seen.push(line.clone()));
+            let line = { line }.find(|line| line.contains(event)).unwrap_or_else(|| panic!("{seen:?}"));
+            line.rsplit("address=").next().expect("an address").parse().expect("an address")
+        };
+        let (admin, address) = (listens("admin.listens"), listens("daemon.listens"));
+        let (lines, heard) = unbounded_channel();
+        std::thread::spawn(move || log.map_while(Result::ok).for_each(|line| drop(lines.send(line))));
+        Process { child, config: path, address, admin, log: heard }
+    }
+
+    /// An operators' call and its answer.
+    pub async fn operate(&self, call: &str) -> String {
+        let mut stream = TcpStream::connect(self.admin).await.expect("the door is there");
+        stream.write_all(format!("{call}\n").as_bytes()).await.expect("written");
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).await.expect("an answer");
+        answer
+    }
+
+    /// The next line of the log with this event.
+    pub async fn logs(&mut self, event: &str) -> String {
+        loop {
+            let line = self.log.recv().await.expect("it runs");
+            if line.contains(event) {
+                return line;
+            }
+        }
+    }
+
+    pub fn signal(&self, signal: &str) {
+        let pid = self.child.id().to_string();
+        assert!(Command::new("kill").args([signal, &pid]).status().expect("kill runs").success());
+    }
+}
+
+/// The daemon among scripted peers.
+pub struct Stage {
+    pub daemon: Process,
+    pub folder: tempfile::TempDir,
+    pub known: Vec<Value>,
+    pub discovery: TcpListener,
+    pub peers: Vec<TcpListener>,
+    pub next_id: u64,
+}
+
+impl Stage {
+    pub async fn set(peers: usize) -> Stage {
+        Stage::set_with(peers, &[]).await
+    }
+
+    /// `others` are listed after the scripted peers.
+    pub async fn set_with(peers: usize, others: &[SocketAddr]) -> Stage {
+        Stage::limited(peers, others, SOCKETS).await
+    }
+
+    /// The daemon may hold so many descriptors.
+    pub async fn limited(peers: usize, others: &[SocketAddr], sockets: u32) -> Stage {
+        let listener = || async { TcpListener::bind("127.0.0.1:0").await.expect("a port") };
+        let discovery = listener().await;
+        let mut listeners = Vec::new();
+        for _ in 0..peers {
+            listeners.push(listener().await);
+        }
+        let scripted = listeners.iter().map(|listener| listener.local_addr().expect("bound"));
+        let addresses = scripted.chain(others.iter().copied()).enumerate();
+        let known: Vec<Value> = addresses.map(|(n, address)| instance(n, address, "up")).collect();
+        let folder = tempfile::tempdir().expect("a folder");
+        let mut config = config(discovery.local_addr().unwrap(), known.clone().into());
+        config["limits"]["sockets"] = sockets.into();
+        let daemon = Process::start(&config, folder.path());
+        Stage { daemon, folder, known, discovery, peers: listeners, next_id: 0xab00 }
+    }
+
+    /// Starts the next process of the scheduler beside the one that serves. Its own list is empty.
+    pub fn successor(&self) -> Process {
+        let mut config = config(self.discovery.local_addr().unwrap(), json!([]));
+        config["listen"] = self.daemon.address.to_string().into();
+        Process::start(&config, self.folder.path())
+    }
+
+    /// What `/health/ready` says on a connection of its own.
+    pub async fn readiness(&self) -> Message {
+        let mut front = dial(self.daemon.address).await;
+        front.send("GET /health/ready HTTP/1.1\r\nhost: x\r\n\r\n").await;
+        front.read().await.expect("an answer")
+    }
+
+    /// The next connection that any peer gets.
+    pub async fn peer(&self) -> (usize, Wire) {
+        let accepts = self.peers.iter().map(|peer| Box::pin(peer.accept()));
+        let (accepted, number, _) = select_all(accepts).await;
+        (number, Wire::new(accepted.expect("a connection").0))
+    }
+
+    /// A job of a class, its connection and its id.
+    pub async fn job(&mut self, class: &str, key: &str) -> (Wire, String) {
+        self.next_id += 1;
+        let id = format!("{:016x}", self.next_id);
+        let mut client = dial(self.daemon.address).await;
+        client
+            .hand_in(&format!("/{class}/{key}"), &format!("X-Trace-Id: {id}\r\nX-Qos: {class}\r\n"), "work")
+            .await;
+        (client, id)
+    }
+
+    /// A peer's word on a job; it must be answered 200 whatever it says.
+    pub async fn call_back(&self, id: &str, peer: usize, state: &str) {
+        let mut wire = dial(self.daemon.address).await;
+        let body =
+            json!({"id": id, "from": format!("s-{peer}"), "state": state, "result": "made"}).to_string();
+        wire.hand_in("/callback", "", &body).await;
+        assert_eq!(status(&wire.read().await), "200");
+    }
+
+    /// Hands in jobs of many keys, and lets peer 0 and no other serve them.
+    pub async fn peer_0_serves(&mut self, class: &str) {
+        for key in 0..8 {
+            let (mut client, id) = self.job(class, &key.to_string()).await;
+            let mut peer = Wire::new(self.peers[0].accept().await.expect("peer 0 is asked").0);
+            peer.read().await.expect("the job");
+            // Ends the connection after each job, so that the next one is seen to be dialled.
+            peer.send("HTTP/1.1 202 Accepted\r\nconnection: close\r\ncontent-length: 0\r\n\r\n").await;
+            self.call_back(&id, 0, "done").await;
+            assert_eq!(status(&client.read().await), "200");
+        }
+    }
+
+    /// Lets whichever peer is asked next serve the job that is waiting.
+    pub async fn serve_next(&self, id: &str) {
+        let (number, mut peer) = self.peer().await;
+        peer.read().await.expect("the job");
+        peer.send(ACCEPTED).await;
+        self.call_back(id, number, "done").await;
+    }
+}
