Open the watch by itself where lists are pushed, and again whenever it ends

The logs hold no call to discovery at all: ask_later in policy.rs subscribes where the list is asked for alone, since in the simulator pushed changes come by themselves; on sockets what pushes them is a watch, and list/discovery.rs opened one only when the module said so. Ruled out: a watch that broke (there was none to break). Change: Discovery opens the watch itself where the settings in force say pushed, at once at the start and 0.1 s after any end.

--- a/crates/vetchbridge/src/list/discovery.rs
+++ b/crates/vetchbridge/src/list/discovery.rs
@@ -2,8 +2,9 @@
 //!
 //! Owns the version last seen and the calls under way. News goes to the upstream group first and to the
 //! module next, in the order it came; a call that fails becomes one `Failed` event and ends the watch until
-//! the module subscribes again. It must never ask unbidden (but for a move of discovery itself), nor drop the
-//! list it has for one it can't read, nor compare versions of one discovery with those of another.
+//! the module subscribes again. Where lists are pushed, the module never subscribes, and a watch is what pushes them: it
+//! is opened at the start and again whenever it ends. It must never ask unbidden otherwise (but for a move of discovery
+//! itself), nor drop the list it has for one it can't read, nor compare versions of one discovery with those of another.
 
 use crate::engine::Engine;
 use crate::list::ask::Ask;
@@ -16,13 +17,14 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
-use silverproxy::interface::*;
+use silverproxy::interface::Discovery::Push as Pushed;
+use silverproxy::interface::{Event, ListKind, Member, MemberState};
 use std::future::{pending, ready, Future};
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::sync::mpsc::UnboundedReceiver;
-use tokio::time::Instant;
+use tokio::time::{sleep_until, Instant};
 use tracing::{debug, info, warn};
 
 /// How long a watch may wait at discovery; the protocol allows a minute, but a cut shows only at its end.
@@ -33,6 +35,8 @@
 const ANSWER_WAIT: Duration = Duration::from_secs(2);
 /// How long the rest of an answer may take once its head is here: what is written counts as told.
 const REST_WAIT: Duration = Duration::from_millis(250);
+/// Pause before a watch that pushes the list is opened anew: whoever pushes it serves this scheduler alone.
+const PUSHED_AGAIN: Duration = Duration::from_millis(100);
 /// Idle connections to discovery are closed after this.
 const IDLE: Duration = Duration::from_secs(20);
 /// The longest list.
@@ -107,8 +111,12 @@
     /// Serves the module's asks for as long as the engine lives.
     pub async fn run(mut self, mut asks: UnboundedReceiver<Ask>) {
         let (mut watch, mut fetch): (Option<Call>, Option<Call>) = (None, None);
+        // Of a watch that pushes the list: when to open it.
+        let mut reopen = Instant::now();
         loop {
+            let opens = watch.is_none() && self.current.get().settings.discovery == Pushed;
             tokio::select! {
+                () = sleep_until(reopen), if opens => watch = Some(self.watch()),
                 ask = asks.recv() => match ask {
                     Some(Ask::Subscribe(true)) => watch = Some(self.watch()),
                     Some(Ask::Subscribe(false)) => watch = None,
@@ -125,6 +133,7 @@
                 },
                 answer = under_way(&mut watch) => {
                     watch = None;
+                    reopen = Instant::now() + PUSHED_AGAIN;
                     if self.news(answer) {
                         // At once: a watch goes on only if the next call follows within 200 ms.
                         watch = Some(self.watch());
--- a/crates/vetchbridge/tests/parts.rs
+++ b/crates/vetchbridge/tests/parts.rs
@@ -40,12 +40,17 @@
 
 impl Parts {
     async fn of(schedulers: u32) -> Parts {
+        Parts::following(schedulers, "ask").await
+    }
+
+    /// The list is asked for (`ask`) or pushed (`push`).
+    async fn following(schedulers: u32, discovers: &str) -> Parts {
         let discovery = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let class = json!({"name": "receipt", "repeat": "unsafe", "aim": 500_000, "deadline": 60_000_000});
         let document = json!({"name": "n0", "listen": "127.0.0.1:0", "seed": "5eed",
             "discovery": discovery.local_addr().expect("bound").to_string(),
             "settings": {"me": 0, "balancers": schedulers, "areas": ["a"], "kinds": ["m"], "zone": 0, "tick": 4000,
-                "discovery": "ask", "services": [class], "limits": {"max_attempts": 4, "may_cancel": true},
+                "discovery": discovers, "services": [class], "limits": {"max_attempts": 4, "may_cancel": true},
                 "rules": {"stop_sending_within": 500_000, "start_capacity": 0.2, "cold": 24_000_000,
                           "tip_multiple": 2.5, "fall": 2_000_000}}});
         let config = read_text("parts", &document.to_string()).expect("it reads").config;
@@ -172,3 +177,43 @@
     assert!(asked(next.read().await).contains("index=2&wait="), "from the version that it has");
     assert!(called.elapsed() < Duration::from_secs(6), "{:?} after the call", called.elapsed());
 }
+
+/// Where lists are pushed, the module asks for none: the watch that pushes them is there from the first moment, whatever the
+/// saved list holds, and there again at once after an answer, a refusal, a reset or silence.
+#[rstest]
+#[timeout(HANG)]
+#[tokio::test(start_paused = true)]
+async fn a_pushed_list_is_watched_from_the_first_moment_and_after_every_end_of_its_watch() {
+    let mut parts = Parts::following(300, "push").await;
+    parts.follow(json!([]));
+    let accept = || async { Wire::new(parts.discovery.accept().await.expect("the watch").0) };
+    let mut wire = accept().await;
+    // How the watch ends, and how soon after its call the next one is there.
+    for (end, within) in [("503", 200), ("reset", 200), ("silence", 5_500), ("an answer", 10)] {
+        let call = wire.read().await.expect("a call");
+        assert!(call.target().contains("index=1&wait="), "{} before {end}", call.target());
+        let called = Instant::now();
+        let silent = match end {
+            "503" => {
+                wire.answer(503, "connection: close\r\n", "").await.expect("it is read");
+                None
+            }
+            "reset" => {
+                wire.reset();
+                None
+            }
+            // Its connection stays open, and not a byte comes.
+            "silence" => Some(wire),
+            _ => {
+                let told = r#"{"generation":2,"reset":false,"instances":[]}"#;
+                wire.answer(200, "", told).await.expect("it is read");
+                let call = wire.read().await.expect("the next call");
+                assert!(call.target().contains("index=2&wait="), "{}", call.target());
+                return;
+            }
+        };
+        wire = accept().await;
+        drop(silent);
+        assert!(called.elapsed() <= Duration::from_millis(within), "{:?} after {end}", called.elapsed());
+    }
+}
