Give each scheduler that may not talk an equal share of what a cold peer can take

Where there are no keepers, has_room in policy.rs let in whatever found its own key's first place at a cold peer, so that the sum was bounded by the load alone; jobs elsewhere were never let in, whatever room there was. A scheduler of 300 sees a key twice in 20 s at best, and spread() took one sighting for none. Change: work sent to a cold peer is accounted for without keepers too, against the n-th part of its budget; within it any job may go there. The two parts of the budget follow the fall multiple (0.8 and 0.6 of it; a multiple below 1.9 left nothing before). Where nothing tells how full a peer is, a key counts as heavy as it may be. A worker's copy of tells_start is gone from the module.

--- a/crates/silverproxy/src/policy.rs
+++ b/crates/silverproxy/src/policy.rs
@@ -27,8 +27,8 @@
 const COUNT_WINDOW: f64 = 20e6;
 /// A key may bring a worker this share of a mean worker's usual load before it widens to one more.
 const KEY_FILL: f64 = 0.5;
-/// Part of the fall multiple that a cold worker is sent at most, and the multiple that it is sent at length.
-const COLD_MOST: (f64, f64) = (0.8, 1.5);
+/// Parts of the fall multiple that a cold worker is sent at most, and at length.
+const COLD_MOST: (f64, f64) = (0.8, 0.6);
 /// Workers that left are kept while they and the ready ones are no more than this above twice the ready ones.
 const FORGET_ABOVE: usize = 64;
 /// Keys counted at most; the lightest are forgotten first.
@@ -160,7 +160,6 @@
     kind: KindId,
     cell: CellId,
     ready: bool,
-    tells_start: bool,
     units: f64,
     points: u32,
     born: Micros,
@@ -180,7 +179,7 @@
     kept: Vec<(u32, Micros, f64)>,
     /// As its keeper: who has just been told how full it is while cold, when, and with how much work in hand.
     granted: Vec<(u32, Micros, Micros)>,
-    /// As its keeper: work sent there less what it can have done of it by then, and when that was.
+    /// On this account: work sent there less what it can have done of it by then, and when that was.
     poured: (f64, Micros),
     failures: u32,
     ejected_until: Micros,
@@ -211,7 +210,7 @@
     /// Whether an own job has waited here for longer than word of its start takes: the slots are full.
     fn keeps_waiting(&self, now: Micros) -> bool {
         let overdue = |o: &&(RequestId, u32, Micros, f64)| o.2 + START_LAG < now;
-        self.tells_start && self.out.iter().filter(overdue).any(|o| self.running((o.0, o.1)).is_none())
+        self.out.iter().filter(overdue).any(|o| self.running((o.0, o.1)).is_none())
     }
 
     fn running(&self, attempt: (RequestId, u32)) -> Option<&Started> {
@@ -224,12 +223,6 @@
         now < self.full_until
             || self.held(now).is_some_and(crowded)
             || self.own_slots() + slots > self.bound.max(slots)
-            || self.keeps_waiting(now)
-    }
-
-    /// Work in hand per unit of size, to compare two busy workers.
-    fn load(&self, now: Micros) -> f64 {
-        self.held(now).unwrap_or(self.own_slots()) / self.units.max(1e-6)
     }
 
     /// Share of its capacity that a worker has at this age, by the slowest warming the rules allow.
@@ -324,7 +317,6 @@
 
     /// Other settings bind from here on; ring, learnt bounds and what is open survive them.
     fn on_settings(&mut self, settings: Settings) {
-        self.workers.iter_mut().for_each(|worker| worker.tells_start = settings.tells_start);
         self.open.values_mut().for_each(|open| open.most = open.most.min(settings.limits.max_attempts));
         self.settings = settings;
     }
@@ -337,10 +329,9 @@
     // ---- the worker list and the ring ----
 
     fn on_members(&mut self, now: Micros, kind: ListKind, members: Vec<Member>, actions: &mut Vec<Action>) {
-        match kind {
-            ListKind::Failed => self.ask_pending = false,
-            ListKind::Saved => {}
-            ListKind::Changes | ListKind::Full => (self.ask_pending, self.asked) = (true, 0),
+        self.ask_pending = matches!(kind, ListKind::Changes | ListKind::Full);
+        if self.ask_pending {
+            self.asked = 0;
         }
         if kind == ListKind::Full || kind == ListKind::Saved {
             let listed: std::collections::BTreeSet<WorkerId> = members.iter().map(|m| m.worker).collect();
@@ -356,7 +347,7 @@
                 if ready {
                     self.index.insert(member.worker, self.workers.len());
                     added.push(self.workers.len());
-                    self.workers.push(new_worker(&member, units, self.settings.tells_start));
+                    self.workers.push(new_worker(&member, units));
                 }
                 continue;
             };
@@ -368,7 +359,7 @@
             if member.born > worker.born {
                 // A restarted process: nothing learned of the old one holds.
                 let (out, points) = (std::mem::take(&mut worker.out), worker.points);
-                *worker = Worker { out, points, ..new_worker(&member, units, self.settings.tells_start) };
+                *worker = Worker { out, points, ..new_worker(&member, units) };
             }
             if (units / worker.units - 1.0).abs() > 0.01 {
                 worker.units = units;
@@ -544,8 +535,9 @@
         if self.keys.len() > MAX_KEYS {
             self.keys.retain(|_, e| decayed(*e) >= 1.0);
         }
-        // One sighting proves nothing: the count less one, over all requests counted.
-        let share = (count - 1.0).max(0.0) / (self.requests.0 + 5.0);
+        // One sighting proves nothing; but where nothing tells how full a worker is, a key is as heavy as it may be.
+        let proven = if self.keepers() || self.settings.tells_start { count - 1.0 } else { count };
+        let share = proven.max(0.0) / (self.requests.0 + 5.0);
         let workers = share * self.ready_count as f64 / KEY_FILL;
         (workers.ceil() as usize).clamp(1, (self.ready_count / 2).max(1))
     }
@@ -607,7 +599,8 @@
             now >= w.full_until && w.warmth(now, &self.settings.rules) >= 1.0 && short
         };
         let choices = candidates.iter().copied().filter(|at| open_to(&self.workers[*at]));
-        let best = choices.min_by(|a, b| self.workers[*a].load(now).total_cmp(&self.workers[*b].load(now)));
+        let load = |w: &Worker| w.held(now).unwrap_or(w.own_slots()) / w.units.max(1e-6);
+        let best = choices.min_by(|a, b| load(&self.workers[*a]).total_cmp(&load(&self.workers[*b])));
         match best {
             Some(at) if !late && (attempts == 0 || self.own_bound(now, at).is_some()) => {
                 self.send(now, id, at, actions)
@@ -616,20 +609,23 @@
         }
     }
 
-    /// Whether a candidate may be sent these slots now. A cold worker must be known to have room, but for
-    /// its own keys, few of a heavy one (place 0); it begins with half of its slots.
+    /// Whether a candidate may be sent these slots now. A cold worker must be known to have room, but for its own
+    /// keys, few of a heavy one (place 0), or this dispatcher's share of it be unspent; it begins with half its slots.
     fn has_room(&self, now: Micros, at: usize, slots: f64, place: usize) -> bool {
         let worker = &self.workers[at];
         let warmth = worker.warmth(now, &self.settings.rules);
         let fair = self.own_bound(now, at).is_none_or(|bound| worker.own_slots() + slots <= bound.max(slots));
-        let known = place == 0 || warmth >= 1.0 || worker.held(now).is_some();
-        known && fair && !worker.busy(now, slots, self.room * (COLD_SLOTS + warmth).min(1.0))
+        let known = place == 0 || worker.held(now).is_some();
+        let cold_room = if self.keepers() { known } else { self.poured(now, at).1 >= 0.0 };
+        let waits = self.settings.tells_start && worker.keeps_waiting(now);
+        let busy = waits || worker.busy(now, slots, self.room * (COLD_SLOTS + warmth).min(1.0));
+        (warmth >= 1.0 || cold_room) && fair && !busy
     }
 
     /// Own slots out at which a worker is busy where nothing tells how full it is: its share of all of them,
     /// if they were spread by what the workers can do now.
     fn own_bound(&self, now: Micros, at: usize) -> Option<f64> {
-        let told = self.workers[at].tells_start || self.workers[at].held(now).is_some();
+        let told = self.settings.tells_start || self.workers[at].held(now).is_some();
         let able = |w: &Worker| w.units * w.warmth(now, &self.settings.rules);
         let ready = self.workers.iter().filter(|w| w.ready).map(|w| (w.own_slots(), able(w)));
         let share = |(out, all): (f64, f64)| OWN_SHARE * out * able(&self.workers[at]) / all;
@@ -646,42 +642,50 @@
         actions.push(Action::SetTimer { at, token: TimerToken(TIMER_HOLD << 56 | open.sequence) });
     }
 
-    /// Which dispatcher keeps account of a worker: the first by rendezvous that is not silent, so that all
-    /// agree without a word. `None` where they may not talk, or where workers report themselves.
-    fn keeper(&mut self, now: Micros, worker: WorkerId) -> Option<u32> {
+    /// Whether dispatchers keep account of workers for one another: they may talk, and no worker reports itself.
+    fn keepers(&self) -> bool {
         let Settings { limits, report_via, dispatchers, .. } = &self.settings;
-        if !limits.may_message_peers || *dispatchers < 2 || *report_via != ReportVia::Never {
-            return None;
-        }
+        limits.may_message_peers && *dispatchers > 1 && *report_via == ReportVia::Never
+    }
+
+    /// Which one keeps account of a worker: the first by rendezvous that is not silent; all agree without a word.
+    fn keeper(&mut self, now: Micros, worker: WorkerId) -> Option<u32> {
         self.silent.retain(|_, until| now < *until);
-        let heard = (0..*dispatchers).filter(|sibling| !self.silent.contains_key(sibling));
+        let all = if self.keepers() { self.settings.dispatchers } else { 0 };
+        let heard = (0..all).filter(|sibling| !self.silent.contains_key(sibling));
         heard.max_by_key(|sibling| mix(worker.0 ^ mix(u64::from(*sibling))))
     }
 
     fn tell(&mut self, now: Micros, at: usize, word: Word, actions: &mut Vec<Action>) {
         let worker = self.workers[at].id;
         match (self.keeper(now, worker), word) {
-            (Some(me), Word::Sent(_, work)) if me == self.settings.me => _ = self.pour(now, at, work),
             (Some(keeper), _) if keeper != self.settings.me => {
                 actions.push(Action::TellPeers { to: Peer::One(keeper), data: word.write(worker) });
             }
+            (_, Word::Sent(_, work)) => self.pour(now, at, work),
             _ => {}
         }
     }
 
-    /// Adds to the work that a worker has been sent; says how much it can do in a microsecond.
-    fn pour(&mut self, now: Micros, at: usize, work: Micros) -> f64 {
-        let worker = &mut self.workers[at];
-        let able = self.room * worker.units * worker.warmth(now, &self.settings.rules);
+    /// Work sent to a worker on this account that it can't have done yet, and how much more is short of toppling it
+    /// if it is cold. A keeper's account is of all that is sent there; without keepers each has an equal share.
+    fn poured(&self, now: Micros, at: usize) -> (f64, f64) {
+        let share = if self.keepers() { 1.0 } else { 1.0 / f64::from(self.settings.dispatchers.max(1)) };
+        let (worker, rules) = (&self.workers[at], &self.settings.rules);
+        let able = share * self.room * worker.units * worker.warmth(now, rules) * rules.fall_multiple;
         let left = worker.poured.0 - able * COLD_MOST.1 * now.saturating_sub(worker.poured.1) as f64;
-        worker.poured = (left.max(0.0) + work as f64, now);
-        able
+        (left.max(0.0), able * (COLD_MOST.0 - COLD_MOST.1) * rules.fall_time as f64 - left.max(0.0))
+    }
+
+    fn pour(&mut self, now: Micros, at: usize, work: Micros) {
+        self.workers[at].poured = (self.poured(now, at).0 + work as f64, now);
     }
 
     /// As its keeper: slots in hand at a worker, for a dispatcher that has so much work. A cold one that has
     /// been sent nearly what topples it is full; one said to have room is the asker's alone for a moment.
     fn account(&mut self, now: Micros, at: usize, (asker, work): (u32, Micros)) -> f64 {
-        let able = self.pour(now, at, 0);
+        self.pour(now, at, 0);
+        let (_, most) = self.poured(now, at);
         let (worker, rules) = (&mut self.workers[at], &self.settings.rules);
         let (held, warmth) = (worker.kept_slots(now) + worker.own_slots(), worker.warmth(now, rules));
         if warmth >= 1.0 {
@@ -689,10 +693,9 @@
         }
         worker.granted.retain(|granted| granted.1 + KEEPER.0 > now && granted.0 != asker);
         let granted: Micros = worker.granted.iter().map(|granted| granted.2).sum();
-        let most = able * (rules.fall_multiple * COLD_MOST.0 - COLD_MOST.1) * rules.fall_time as f64;
         let taken = held + worker.granted.len() as f64;
         let room = self.room * worker.units * (COLD_SLOTS + warmth).min(1.0);
-        if worker.poured.0 + granted as f64 > most || taken + 1.0 > room.max(1.0) {
+        if granted as f64 > most || taken + 1.0 > room.max(1.0) {
             return FULL;
         }
         worker.granted.push((asker, now, work));
@@ -704,8 +707,8 @@
         let worker = &self.workers[at];
         let fresh = worker.report.1.is_some_and(|t| now.saturating_sub(t) < REPORT_FRESH);
         let Some(keeper) = self.keeper(now, worker.id).filter(|_| !fresh) else { return false };
+        let work = self.open.get(&id).map_or(0, Open::likely_work);
         if keeper == self.settings.me {
-            let work = self.open.get(&id).map_or(0, Open::likely_work);
             self.workers[at].report = (Some(self.account(now, at, (keeper, work))), Some(now + 1));
             return false;
         }
@@ -715,7 +718,6 @@
         }
         if worker.asked.is_none() {
             worker.asked = Some((keeper, now));
-            let work = self.open.get(&id).map_or(0, Open::likely_work);
             self.tell(now, at, Word::Ask(work), actions);
         }
         true
@@ -779,7 +781,7 @@
         let timeout = open.all_or_nothing().then(|| open.late_from(-OVERRUN).saturating_sub(now).max(1));
         actions.push(Action::Send { request: id, worker: worker.id, timeout });
         let (limits, slots) = (&self.settings.limits, open.slots);
-        if worker.tells_start && limits.may_cancel && limits.second_copies {
+        if self.settings.tells_start && limits.may_cancel && limits.second_copies {
             let token = TimerToken(TIMER_WATCH << 56 | open.sequence);
             actions.push(Action::SetTimer { at: watch_at(now, open.due), token });
         }
@@ -992,14 +994,13 @@
     }
 }
 
-fn new_worker(member: &Member, units: f64, tells_start: bool) -> Worker {
+fn new_worker(member: &Member, units: f64) -> Worker {
     Worker {
         id: member.worker,
         zone: member.zone,
         kind: member.kind,
         cell: member.cell,
         ready: member.state == MemberState::Ready,
-        tells_start,
         units,
         born: member.born,
         bound: f64::INFINITY,
