--- a/crates/silverproxy/src/policy.rs
+++ b/crates/silverproxy/src/policy.rs
@@ -535,7 +535,7 @@
         if self.keys.len() > MAX_KEYS {
             self.keys.retain(|_, e| decayed(*e) >= 1.0);
         }
-        // One sighting proves nothing; but where nothing tells how full a worker is, a key is as heavy as it may be.
+        // One sighting proves nothing; but where nothing tells of load a key is as heavy as it may be.
         let proven = if self.keepers() || self.settings.tells_start { count - 1.0 } else { count };
         let share = proven.max(0.0) / (self.requests.0 + 5.0);
         let workers = share * self.ready_count as f64 / KEY_FILL;
