--- a/crates/silverproxy/src/policy.rs
+++ b/crates/silverproxy/src/policy.rs
@@ -609,8 +609,8 @@
         }
     }
 
-    /// Whether a candidate may be sent these slots now. A cold worker must be known to have room, but for its own
-    /// keys, few of a heavy one (place 0), or this dispatcher's share of it be unspent; it begins with half its slots.
+    /// Whether a candidate may be sent these slots now. A cold worker must be known to have room, but for its
+    /// own keys, few of a heavy one (place 0), or this one's share of it unspent; it begins with half its slots.
     fn has_room(&self, now: Micros, at: usize, slots: f64, place: usize) -> bool {
         let worker = &self.workers[at];
         let warmth = worker.warmth(now, &self.settings.rules);
@@ -642,13 +642,13 @@
         actions.push(Action::SetTimer { at, token: TimerToken(TIMER_HOLD << 56 | open.sequence) });
     }
 
-    /// Whether dispatchers keep account of workers for one another: they may talk, and no worker reports itself.
+    /// Whether dispatchers keep account of workers for one another: they may talk, and no worker does it.
     fn keepers(&self) -> bool {
         let Settings { limits, report_via, dispatchers, .. } = &self.settings;
         limits.may_message_peers && *dispatchers > 1 && *report_via == ReportVia::Never
     }
 
-    /// Which one keeps account of a worker: the first by rendezvous that is not silent; all agree without a word.
+    /// Which one keeps account of a worker: the first by rendezvous that is not silent; all agree on it.
     fn keeper(&mut self, now: Micros, worker: WorkerId) -> Option<u32> {
         self.silent.retain(|_, until| now < *until);
         let all = if self.keepers() { self.settings.dispatchers } else { 0 };
@@ -667,8 +667,8 @@
         }
     }
 
-    /// Work sent to a worker on this account that it can't have done yet, and how much more is short of toppling it
-    /// if it is cold. A keeper's account is of all that is sent there; without keepers each has an equal share.
+    /// Work sent to a worker on this account that it can't have done yet, and how much more it may get while
+    /// cold. A keeper's account is of all that is sent there; without keepers each has an equal share.
     fn poured(&self, now: Micros, at: usize) -> (f64, f64) {
         let share = if self.keepers() { 1.0 } else { 1.0 / f64::from(self.settings.dispatchers.max(1)) };
         let (worker, rules) = (&self.workers[at], &self.settings.rules);
