--- a/crates/silverproxy/src/policy.rs
+++ b/crates/silverproxy/src/policy.rs
@@ -610,7 +610,7 @@
     }
 
     /// Whether a candidate may be sent these slots now. A cold worker must be known to have room, but for its
-    /// own keys, few of a heavy one (place 0), or this one's share of it unspent; it begins with half its slots.
+    /// own keys, few of a heavy one (place 0), or this one's share of it be left; it begins with half its slots.
     fn has_room(&self, now: Micros, at: usize, slots: f64, place: usize) -> bool {
         let worker = &self.workers[at];
         let warmth = worker.warmth(now, &self.settings.rules);
