Begin nothing for a client that has gone, whatever it wrote after its job

Cause, two of them. Seen: with a byte of anything after a job on its connection, the client's close or reset went unnoticed until the answer, and its job was sent to peers that were listed or chosen later. hyper's `mid_message_detect_eof` does not read while its buffer holds bytes, and it had been given all that was read. And where a departure met a send that the module had just chosen, `request::run` took the send first and dialled the peer, since the receiver's end stood last in its biased select. Ruled out: a job whose client goes before or together with its last byte was never taken, and a dial that came up later carried nothing.

Change: `Watched` hands hyper the bytes of one request at a time; until its answer is out it keeps up to 8 KiB of what follows and reads on to the end of the stream, which hyper then sees. Of more than that nothing is kept, and the answer is the connection's last. `run` looks whether the client has gone before it takes a step.

The stage of the stories gains what forces these orders: the process is stopped while both events are put into its sockets.

--- a/crates/vetchbridge/src/clients/connection.rs
+++ b/crates/vetchbridge/src/clients/connection.rs
@@ -1,15 +1,15 @@
 //! One client connection: what it is doing, and since when.
 //!
-//! Owns the time that a request may take to arrive and an answer to leave, and the order in which connections can be
-//! spared. It knows nothing of what requests say. It must never name one as spare that owes an answer or brings a
+//! Owns the time that a request may take to arrive and an answer to leave, what a client writes before its turn, and the
+//! order in which connections can be spared. It knows nothing of what requests say. It must never name one as spare that owes an answer or brings a
 //! callback, nor one that has just been made.
 
-use super::framing::{Framing, Watch};
+use super::framing::{Framing, Watch, HEAD_LIMIT};
 use super::lock;
 use std::io;
 use std::pin::Pin;
 use std::sync::{Arc, Mutex};
-use std::task::{Context, Poll};
+use std::task::{ready, Context, Poll};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
@@ -28,6 +28,9 @@
 /// The last to make room, and only for another newcomer.
 pub(super) const NEWCOMER: u32 = 5;
 
+/// What follows a request in hand is read in pieces of this size.
+const PIECE: usize = 512;
+
 /// What a connection is doing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Stage {
@@ -51,6 +54,26 @@
     /// What it was doing when it was chosen to make room, if it was.
     chosen: Option<Stage>,
     watch: Watch,
+    /// The request in hand has been read to its last byte.
+    whole: bool,
+    /// What the client wrote after that, for the time when it has been answered.
+    ahead: Vec<u8>,
+    /// There was more of it than is kept: the answer in hand is the last.
+    overrun: bool,
+}
+
+impl State {
+    fn see(&mut self, bytes: &[u8]) -> usize {
+        let own = self.watch.see(bytes);
+        self.whole = own > 0 && self.watch.between_requests();
+        match self.stage {
+            // The time counts from connecting.
+            Stage::Silent => self.stage = Stage::Arriving,
+            Stage::Idle => (self.stage, self.since) = (Stage::Arriving, Instant::now()),
+            Stage::Arriving | Stage::Owing | Stage::Answering => {}
+        }
+        own
+    }
 }
 
 /// One accepted connection.
@@ -63,7 +86,8 @@
 impl ClientConnection {
     pub(super) fn new() -> ClientConnection {
         let (stage, since, watch) = (Stage::Silent, Instant::now(), Watch::new());
-        let state = State { stage, since, answered: 0, chosen: None, watch };
+        let (ahead, whole, overrun) = (Vec::new(), false, false);
+        let state = State { stage, since, answered: 0, chosen: None, watch, whole, ahead, overrun };
         ClientConnection { state: Mutex::new(state), ended: Notify::new(), rests: Notify::new() }
     }
 
@@ -108,10 +132,10 @@
         lock(&self.state).watch.ambiguous
     }
 
-    /// Whether the answer in hand is its last: its next request could not be watched, or it makes room.
+    /// Whether the answer in hand is its last: its next request could not be watched or kept, or it makes room.
     pub fn last(&self) -> bool {
         let state = lock(&self.state);
-        state.watch.framing == Framing::Unwatched || state.chosen.is_some()
+        state.watch.framing == Framing::Unwatched || state.overrun || state.chosen.is_some()
     }
 
     pub(super) fn stays(&self) -> bool {
@@ -148,27 +172,64 @@
         state.answered += 1;
     }
 
-    pub(super) fn seen(&self, bytes: &[u8]) {
+    /// Bytes have come of the request that is arriving; how many of them are its own.
+    pub(super) fn seen(&self, bytes: &[u8]) -> usize {
         let state = &mut *lock(&self.state);
-        state.watch.see(bytes);
-        match state.stage {
-            // The time counts from connecting.
-            Stage::Silent => state.stage = Stage::Arriving,
-            Stage::Idle => (state.stage, state.since) = (Stage::Arriving, Instant::now()),
-            Stage::Arriving | Stage::Owing | Stage::Answering => {}
+        state.see(bytes)
+    }
+
+    /// Whether a whole request is in hand, so that nothing more is to be handed on until it has been answered.
+    fn whole(&self) -> bool {
+        lock(&self.state).whole
+    }
+
+    /// Hands on what came too early, as far as it belongs to one request; false if there is nothing.
+    fn hand_on(&self, buffer: &mut ReadBuf<'_>) -> bool {
+        let state = &mut *lock(&self.state);
+        if state.ahead.is_empty() {
+            return false;
         }
+        let mut ahead = std::mem::take(&mut state.ahead);
+        let room = ahead.len().min(buffer.remaining());
+        let own = state.see(&ahead[..room]);
+        buffer.put_slice(&ahead[..own]);
+        ahead.drain(..own);
+        state.ahead = ahead;
+        true
     }
 
-    pub(super) fn flushed(&self) {
+    /// Whether what comes while a request is in hand can still be read.
+    fn reads_ahead(&self) -> bool {
+        let state = lock(&self.state);
+        // The head of the last answer is written by then, and could not say that it is the last.
+        state.stage != Stage::Answering || state.ahead.len() < HEAD_LIMIT
+    }
+
+    /// Keeps what came while a request was in hand.
+    fn keep_ahead(&self, bytes: &[u8]) {
         let state = &mut *lock(&self.state);
-        if state.stage == Stage::Answering {
-            state.stage = if state.watch.between_requests() { Stage::Idle } else { Stage::Arriving };
-            state.since = Instant::now();
-            self.rests.notify_waiters();
-            if state.chosen.is_some() {
-                self.ended.notify_one();
-            }
+        state.overrun |= state.stage != Stage::Answering && state.ahead.len() + bytes.len() > HEAD_LIMIT;
+        if state.overrun {
+            state.ahead = Vec::new();
+        } else {
+            state.ahead.extend_from_slice(bytes);
+        }
+    }
+
+    /// What has been written has left; whether the next request is here already.
+    pub(super) fn flushed(&self) -> bool {
+        let state = &mut *lock(&self.state);
+        if state.stage != Stage::Answering {
+            return false;
+        }
+        let ahead = !state.ahead.is_empty();
+        state.stage = if state.watch.between_requests() && !ahead { Stage::Idle } else { Stage::Arriving };
+        (state.since, state.whole) = (Instant::now(), false);
+        self.rests.notify_waiters();
+        if state.chosen.is_some() {
+            self.ended.notify_one();
         }
+        ahead
     }
 
     /// Whether it has used up its time.
@@ -212,7 +273,8 @@
     }
 }
 
-/// A client connection's bytes, watched on their way.
+/// A client connection's bytes, watched on their way: hyper is given those of one request at a time, and until its answer
+/// is out sees of what follows only the end. It would take no notice of that end with a byte of another request in hand.
 pub struct Watched {
     /// The socket.
     pub stream: TcpStream,
@@ -220,16 +282,42 @@
     pub connection: Arc<ClientConnection>,
 }
 
+impl Watched {
+    /// Resolves when the client has gone.
+    fn poll_end(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let mut bytes = [0; PIECE];
+        while self.connection.reads_ahead() {
+            let mut piece = ReadBuf::new(&mut bytes);
+            ready!(Pin::new(&mut self.stream).poll_read(cx, &mut piece))?;
+            if piece.filled().is_empty() {
+                return Poll::Ready(Ok(()));
+            }
+            self.connection.keep_ahead(piece.filled());
+        }
+        // Woken by the flush of the answer.
+        Poll::Pending
+    }
+}
+
 impl AsyncRead for Watched {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        if self.connection.whole() {
+            return self.poll_end(cx);
+        }
+        if self.connection.hand_on(buffer) {
+            return Poll::Ready(Ok(()));
+        }
         let before = buffer.filled().len();
         let read = Pin::new(&mut self.stream).poll_read(cx, buffer);
         if buffer.filled().len() > before {
-            self.connection.seen(&buffer.filled()[before..]);
+            let fresh = &buffer.filled()[before..];
+            let own = self.connection.seen(fresh);
+            self.connection.keep_ahead(&fresh[own..]);
+            buffer.set_filled(before + own);
         }
         read
     }
@@ -242,8 +330,9 @@
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         let flushed = Pin::new(&mut self.stream).poll_flush(cx);
-        if let Poll::Ready(Ok(())) = flushed {
-            self.connection.flushed();
+        if matches!(flushed, Poll::Ready(Ok(()))) && self.connection.flushed() {
+            // hyper waits for the socket, which may have nothing more to say.
+            cx.waker().wake_by_ref();
         }
         flushed
     }
--- a/crates/vetchbridge/src/clients/framing.rs
+++ b/crates/vetchbridge/src/clients/framing.rs
@@ -40,17 +40,20 @@
         matches!(&self.framing, Framing::Head(head) if head.is_empty())
     }
 
-    /// Reads on, with the parser that hyper uses, so that both see the same heads.
-    pub(super) fn see(&mut self, mut bytes: &[u8]) {
+    /// Reads on to the end of a request at most, with the parser that hyper uses, so that both see the same heads. How
+    /// many bytes that took: what follows is another request.
+    pub(super) fn see(&mut self, all: &[u8]) -> usize {
+        let mut bytes = all;
         while !bytes.is_empty() {
             match &mut self.framing {
-                Framing::Unwatched => return,
+                Framing::Unwatched => return all.len(),
                 Framing::Body(left) => {
                     let here = bytes.len().min(usize::try_from(*left).unwrap_or(usize::MAX));
                     *left -= here as u64;
                     bytes = &bytes[here..];
                     if *left == 0 {
                         self.framing = Framing::Head(Vec::new());
+                        break;
                     }
                 }
                 Framing::Head(head) => {
@@ -61,7 +64,7 @@
                     let next = match request.parse(head) {
                         Ok(httparse::Status::Partial) if head.len() <= HEAD_LIMIT => {
                             self.callback = head.starts_with(b"POST /callback");
-                            return;
+                            return all.len();
                         }
                         Ok(httparse::Status::Complete(length)) => {
                             let named = |name: &str| {
@@ -87,9 +90,13 @@
                     };
                     bytes = &bytes[next.1 - before..];
                     self.framing = next.0;
+                    if self.between_requests() {
+                        break;
+                    }
                 }
             }
         }
+        all.len() - bytes.len()
     }
 }
 
@@ -99,7 +106,12 @@
 
     fn watched(parts: &[&str]) -> Watch {
         let mut watch = Watch::new();
-        parts.iter().for_each(|part| watch.see(part.as_bytes()));
+        for part in parts {
+            let mut bytes = part.as_bytes();
+            while !bytes.is_empty() {
+                bytes = &bytes[watch.see(bytes)..];
+            }
+        }
         watch
     }
 
@@ -124,4 +136,23 @@
         assert!(!watched(&["POST /a HTTP/1.1\r\nContent-Length: 2\r\n\r\nx"]).between_requests());
         assert_eq!(watched(&["POST / HTTP/1.1\r\n", &"a: b\r\n".repeat(3000)]).framing, Framing::Unwatched);
     }
+
+    /// What is told apart here is handed on one by one.
+    #[test]
+    fn a_request_ends_where_the_next_one_begins() {
+        let requests =
+            ["GET /a HTTP/1.1\r\n\r\n", "POST /b HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc", "GET /"];
+        let all = requests.concat();
+        for cut in 0..=all.len() {
+            let (mut watch, mut at, mut ends) = (Watch::new(), 0, Vec::new());
+            while at < all.len() {
+                let end = if at < cut { cut } else { all.len() };
+                at += watch.see(&all.as_bytes()[at..end]);
+                if watch.between_requests() {
+                    ends.push(at);
+                }
+            }
+            assert_eq!(ends, [requests[0].len(), requests[0].len() + requests[1].len()], "cut at {cut}");
+        }
+    }
 }
--- a/crates/vetchbridge/src/request.rs
+++ b/crates/vetchbridge/src/request.rs
@@ -133,6 +133,11 @@
     while context.reply.is_some() || !attempts.is_empty() {
         tokio::select! {
             biased;
+            // Before any step: a send that the module chose in the same moment has become moot.
+            () = RequestContext::client_left(&mut context.reply) => {
+                context.reply = None;
+                engine.handle(Event::Withdrawn(id));
+            }
             step = context.steps.recv() => match step {
                 Some(Step::Send { worker, timeout }) => {
                     let attempt = AttemptNo(cancels.len() as u32);
@@ -180,10 +185,6 @@
                 let closed = context.reply.is_none();
                 engine.handle(Event::Outcome { request: id, attempt, worker, status, latency, closed, load });
             }
-            () = RequestContext::client_left(&mut context.reply) => {
-                context.reply = None;
-                engine.handle(Event::Withdrawn(id));
-            }
         }
     }
 }
--- a/crates/vetchbridge/tests/common/mod.rs
+++ b/crates/vetchbridge/tests/common/mod.rs
@@ -5,6 +5,7 @@
 #![allow(dead_code, missing_docs)]
 
 use futures_util::future::select_all;
+use futures_util::stream::{FuturesUnordered, StreamExt};
 use platform::wire::{Message, Wire};
 use serde_json::{json, Value};
 use std::io::{BufRead, BufReader};
@@ -12,6 +13,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -25,6 +27,14 @@
 pub const HANDOVER: &str = "vetchbridge-n0.handover";
 pub const ACCEPTED: &str = "HTTP/1.1 202 Accepted\r\ncontent-length: 0\r\n\r\n";
 
+/// Until a child that another story starts has become its program, it holds a copy of every socket here, and one that is
+/// closed meanwhile stays open. Held while a child is started, and while a socket is closed whose end has to be seen
+/// before something else.
+pub fn alone() -> MutexGuard<'static, ()> {
+    static ALONE: Mutex<()> = Mutex::new(());
+    ALONE.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// What a story needs of a connection beyond speaking.
 pub trait Speak {
     async fn send(&mut self, text: &str);
@@ -53,6 +63,32 @@
     }
 }
 
+/// The kernel's entry of a connection, by the ports of this end and the other: its state and what is written and not
+/// yet acknowledged, all hexadecimal.
+pub fn entry(here: SocketAddr, there: SocketAddr) -> Option<(String, String)> {
+    let table = std::fs::read_to_string("/proc/net/tcp").expect("read");
+    let ports = [here, there].map(|end| format!(":{:04X}", end.port()));
+    table.lines().find_map(|line| {
+        let words: Vec<&str> = line.split_whitespace().collect();
+        let found = words.get(1)?.ends_with(&ports[0]) && words.get(2)?.ends_with(&ports[1]);
+        found.then(|| (words[3].to_string(), words[4].split(':').next().unwrap_or_default().to_string()))
+    })
+}
+
+/// Both ends of a connection, this one first.
+pub fn ends(wire: &mut Wire) -> (SocketAddr, SocketAddr) {
+    let socket = wire.socket();
+    (socket.local_addr().expect("bound"), socket.peer_addr().expect("connected"))
+}
+
+/// Waits until the other side's kernel has what was written, whatever its process does.
+pub async fn delivered(wire: &mut Wire) {
+    let (here, there) = ends(wire);
+    while entry(here, there).is_some_and(|(_, unread)| !unread.trim_matches('0').is_empty()) {
+        tokio::task::yield_now().await;
+    }
+}
+
 pub async fn dial(address: SocketAddr) -> Wire {
     Wire::dial(address).await.expect("the daemon listens")
 }
@@ -120,7 +156,11 @@
         // As on the platform: the variable is as old as the process, and must not outlive a reload.
         let told = config["discovery"].as_str().expect("an address");
         command.env("BALANCER_DISCOVERY", told).env("TMPDIR", folder);
-        let mut child = command.spawn().expect("the daemon starts");
+        let started = {
+            let _alone = alone();
+            command.spawn()
+        };
+        let mut child = started.expect("the daemon starts");
         let mut log = BufReader::new(child.stderr.take().expect("piped")).lines();
         let mut seen = Vec::new();
         let mut listens = |event: &str| -> SocketAddr {
@@ -155,7 +195,24 @@
 
     pub fn signal(&self, signal: &str) {
         let pid = self.child.id().to_string();
-        assert!(Command::new("kill").args([signal, &pid]).status().expect("kill runs").success());
+        let started = {
+            let _alone = alone();
+            Command::new("kill").args([signal, &pid]).spawn()
+        };
+        assert!(started.and_then(|mut kill| kill.wait()).expect("kill runs").success());
+    }
+
+    /// Stops it where it stands: what happens until [`Process::thaw`] it finds all at once, in the order of its coming.
+    pub async fn freeze(&self) {
+        self.signal("-STOP");
+        let stat = format!("/proc/{}/stat", self.child.id());
+        while !std::fs::read_to_string(&stat).expect("it lives").contains(") T ") {
+            tokio::task::yield_now().await;
+        }
+    }
+
+    pub fn thaw(&self) {
+        self.signal("-CONT");
     }
 }
 
@@ -251,6 +308,33 @@
         }
     }
 
+    /// Hands in one more job, and shows that none but this has come to a peer by then. The peers' connections of before
+    /// must have ended, so that each job is seen to be dialled for. How many connections came and ended without one.
+    pub async fn only_one_more_arrives(&mut self) -> usize {
+        let mut empty = 0;
+        let (mut client, next) = self.job("safe", "k").await;
+        let mut calls = FuturesUnordered::new();
+        loop {
+            let heard = async |(number, mut wire): (usize, Wire)| (number, wire.read().await, wire);
+            let (number, call, mut wire) = tokio::select! {
+                dialled = self.peer() => {
+                    calls.push(heard(dialled));
+                    continue;
+                }
+                Some(heard) = calls.next() => heard,
+            };
+            let Some(call) = call else {
+                empty += 1;
+                continue;
+            };
+            assert_eq!(call.header("x-trace-id"), Some(next.as_str()), "{call:?}");
+            wire.send("HTTP/1.1 202 Accepted\r\nconnection: close\r\ncontent-length: 0\r\n\r\n").await;
+            self.call_back(&next, number, "done").await;
+            assert_eq!(status(&client.read().await), "200");
+            return empty;
+        }
+    }
+
     /// Lets whichever peer is asked next serve the job that is waiting.
     pub async fn serve_next(&self, id: &str) {
         let (number, mut peer) = self.peer().await;
