Close client connections without taking their last answer back

Seen: an answer that ended its connection was followed by a reset wherever the client had written something that was still unread (a body turned away by its length, a bad head, a request after the last answer), and so were connections closed for being idle, and those open when the program ended: hyper shuts the writing side, and the socket was dropped in the same poll. A reset can overtake an answer on its way. And a connection that was closed for being idle while half of the next head had been read lost that request: `graceful_shutdown` closes whatever has no whole head. Ruled out: nothing that came after the last answer was sent on, and a request read before its connection was chosen to make room was answered.

Change: each end of a client connection leads to `Watched::close`: shut our side, read and drop up to 1 MiB for up to 0.3 s or until the client's end, close. Such a connection counts in the budget and is the first to make room, so that newcomers find it no obstacle. Idle ones are closed by the stage that the connection itself knows, instead of hyper's. The end of the program waits for those that linger, 0.2 s beyond the quiet it waited for before.

--- a/crates/vetchbridge/src/clients/connection.rs
+++ b/crates/vetchbridge/src/clients/connection.rs
@@ -1,7 +1,7 @@
 //! One client connection: what it is doing, and since when.
 //!
-//! Owns the time that a request may take to arrive and an answer to leave, what a client writes before its turn, and the
-//! order in which connections can be spared. It knows nothing of what requests say. It must never name one as spare that owes an answer or brings a
+//! Owns the time that a request may take to arrive and an answer to leave, what a client writes before its turn, the order
+//! in which connections can be spared, and how one is closed. It knows nothing of what requests say. It must never name one as spare that owes an answer or brings a
 //! callback, nor one that has just been made.
 
 use super::framing::{Framing, Watch, HEAD_LIMIT};
@@ -11,22 +11,27 @@
 use std::sync::{Arc, Mutex};
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
-use tokio::time::Instant;
+use tokio::time::{timeout, Instant};
 
 /// A request is whole this long after its connection was made, or after its first byte on one that is kept.
 /// Who is slower is owed an end within 3 s.
 const ARRIVAL: Duration = Duration::from_millis(2500);
 /// How long an answer may take to leave; a client that does not read must not keep its descriptor.
 const LEAVING: Duration = Duration::from_secs(10);
+/// How long what a client still writes is read and dropped after our last word: to close on what is unread would take that
+/// word back. Short enough for the last answers before SIGKILL.
+const LINGER: Duration = Duration::from_millis(300);
+/// The most that is read and dropped then.
+const DROPPED: usize = 1 << 20;
 /// A connection younger than this may have its first bytes on the way.
 pub(super) const YOUNG: Duration = Duration::from_millis(250);
 /// A connection younger than this makes room for nobody: it has not had the time to send anything.
 const FRESH: Duration = Duration::from_millis(10);
 /// The last to make room, and only for another newcomer.
-pub(super) const NEWCOMER: u32 = 5;
+pub(super) const NEWCOMER: u32 = 6;
 
 /// What follows a request in hand is read in pieces of this size.
 const PIECE: usize = 512;
@@ -44,6 +49,8 @@
     Answering,
     /// Between requests.
     Idle,
+    /// Our side is closed, and nothing that comes is listened to.
+    Lingering,
 }
 
 struct State {
@@ -70,7 +77,7 @@
             // The time counts from connecting.
             Stage::Silent => self.stage = Stage::Arriving,
             Stage::Idle => (self.stage, self.since) = (Stage::Arriving, Instant::now()),
-            Stage::Arriving | Stage::Owing | Stage::Answering => {}
+            Stage::Arriving | Stage::Owing | Stage::Answering | Stage::Lingering => {}
         }
         own
     }
@@ -98,7 +105,7 @@
             self.ended.notified().await;
             let (overdue, state) = (self.overdue(Instant::now()), lock(&self.state));
             match state.stage {
-                Stage::Silent | Stage::Idle => return,
+                Stage::Silent | Stage::Idle | Stage::Lingering => return,
                 Stage::Arriving if overdue || state.chosen == Some(Stage::Arriving) => return,
                 Stage::Answering if overdue => return,
                 Stage::Arriving | Stage::Owing | Stage::Answering => {}
@@ -122,6 +129,18 @@
         }
     }
 
+    /// Resolves while the connection is between requests and has had an answer. Until then its first request may be on the
+    /// way.
+    pub async fn idles(&self) {
+        loop {
+            let rests = self.rests.notified();
+            if lock(&self.state).stage == Stage::Idle {
+                return;
+            }
+            rests.await;
+        }
+    }
+
     /// When the request that is arriving must be whole.
     pub fn due(&self) -> Instant {
         lock(&self.state).since + ARRIVAL
@@ -138,6 +157,13 @@
         state.watch.framing == Framing::Unwatched || state.overrun || state.chosen.is_some()
     }
 
+    /// Our side is closed. It holds its descriptor again until it has gone, also where it was chosen to make room.
+    pub(super) fn linger(&self) {
+        let state = &mut *lock(&self.state);
+        (state.stage, state.since, state.chosen) = (Stage::Lingering, Instant::now(), None);
+        state.ahead = Vec::new();
+    }
+
     pub(super) fn stays(&self) -> bool {
         lock(&self.state).chosen.is_none()
     }
@@ -238,10 +264,15 @@
         match state.stage {
             Stage::Silent | Stage::Arriving => now >= state.since + ARRIVAL,
             Stage::Answering => now >= state.since + LEAVING,
-            Stage::Owing | Stage::Idle => false,
+            Stage::Owing | Stage::Idle | Stage::Lingering => false,
         }
     }
 
+    /// Whether its last word is out and the client's end is waited for.
+    pub(super) fn lingers(&self) -> bool {
+        lock(&self.state).stage == Stage::Lingering
+    }
+
     pub(super) fn owes(&self, now: Instant) -> bool {
         let state = lock(&self.state);
         state.stage == Stage::Owing || state.stage == Stage::Answering && now < state.since + YOUNG
@@ -259,13 +290,14 @@
         let older_than = |age| now >= state.since + age;
         let rank = match state.stage {
             _ if state.chosen.is_some() => return None,
-            Stage::Silent if older_than(YOUNG) => 0,
-            Stage::Arriving if older_than(YOUNG) && !state.watch.callback => 1,
+            Stage::Lingering => 0,
+            Stage::Silent if older_than(YOUNG) => 1,
+            Stage::Arriving if older_than(YOUNG) && !state.watch.callback => 2,
             // A peer's next callback is worth more than a client that can connect again.
-            Stage::Idle if state.watch.callback => 4,
+            Stage::Idle if state.watch.callback => 5,
             // One that has asked again and again is a better guest than one that asked once and stayed.
-            Stage::Idle if state.answered <= 1 => 2,
-            Stage::Idle => 3,
+            Stage::Idle if state.answered <= 1 => 3,
+            Stage::Idle => 4,
             Stage::Silent if older_than(FRESH) => NEWCOMER,
             Stage::Silent | Stage::Arriving | Stage::Owing | Stage::Answering => return None,
         };
@@ -299,6 +331,31 @@
     }
 }
 
+impl Watched {
+    /// Ends the connection after its last word. What the client still writes is read and dropped until it closes its side
+    /// too, for a bounded time, or until another needs the descriptor.
+    pub async fn close(self) {
+        let Watched { mut stream, connection } = self;
+        connection.linger();
+        let dropping = async {
+            stream.shutdown().await?;
+            let (mut bytes, mut left) = (vec![0; HEAD_LIMIT], DROPPED);
+            while left > 0 {
+                match stream.read(&mut bytes).await? {
+                    0 => break,
+                    read => left = left.saturating_sub(read),
+                }
+            }
+            io::Result::Ok(())
+        };
+        tokio::select! {
+            // Whatever came of it, nothing is left to be said.
+            _ = timeout(LINGER, dropping) => {}
+            () = connection.ended() => {}
+        }
+    }
+}
+
 impl AsyncRead for Watched {
     fn poll_read(
         mut self: Pin<&mut Self>,
--- a/crates/vetchbridge/src/clients/connections.rs
+++ b/crates/vetchbridge/src/clients/connections.rs
@@ -93,8 +93,8 @@
     /// When a new connection can have the place of one that is too young to go now, if there is no other place.
     pub fn relief(&self, elsewhere: Elsewhere) -> Option<Instant> {
         let (now, table) = (Instant::now(), lock(&self.table));
-        let room =
-            table.staying() < self.budget(elsewhere) || table.open.values().any(|c| c.spare(now).is_some());
+        let over = (table.staying() + 1).saturating_sub(self.budget(elsewhere));
+        let room = table.open.values().filter(|c| c.spare(now).is_some()).count() >= over;
         let fresh = table.open.values().filter_map(|c| c.fresh(now)).min();
         fresh.filter(|_| !room)
     }
@@ -102,8 +102,11 @@
     /// A place for a new connection, if need be that of one that can be spared; `None` if there is none.
     pub fn place(&self, elsewhere: Elsewhere) -> Option<Place<'_>> {
         let table = &mut *lock(&self.table);
-        if table.staying() >= self.budget(elsewhere) && !table.make_room(NEWCOMER, Instant::now()) {
-            return None;
+        // Those that made room for others before and have not gone yet hold descriptors as well.
+        while table.staying() >= self.budget(elsewhere) {
+            if !table.make_room(NEWCOMER, Instant::now()) {
+                return None;
+            }
         }
         table.next += 1;
         let (number, connection) = (table.next, Arc::new(ClientConnection::new()));
@@ -117,6 +120,11 @@
         lock(&self.table).open.values().any(|c| c.owes(now))
     }
 
+    /// Whether any is closed on our side and may still take its last answer in.
+    pub fn linger(&self) -> bool {
+        lock(&self.table).open.values().any(|c| c.lingers())
+    }
+
     /// Ends the connections that have used up their time, and those that the peers' connections need the room of.
     pub fn sweep(&self, elsewhere: Elsewhere) {
         let (now, table) = (Instant::now(), lock(&self.table));
@@ -213,6 +221,23 @@
         ended.await;
     }
 
+    /// Who made room and has not gone yet is counted until it has, and goes at once when another needs its descriptor.
+    #[tokio::test(start_paused = true)]
+    async fn who_lingers_is_counted_and_goes_first() {
+        let connections = of_six();
+        let places: Vec<Place<'_>> = (0..6).filter_map(|_| connections.place(ALONE)).collect();
+        places[0].connection.keep();
+        let _newcomer = connections.place(ALONE).expect("the idle one makes room");
+        places[0].connection.ended().await;
+        places[0].connection.linger();
+        assert!(connections.linger() && lock(&connections.table).staying() == 7);
+        let relief = connections.relief(ALONE).expect("its going alone makes no room");
+        tokio::time::advance(relief - Instant::now()).await;
+        let _next = connections.place(ALONE).expect("two make room");
+        places[0].connection.ended().await;
+        assert_eq!(lock(&connections.table).staying(), 6);
+    }
+
     const ALONE: Elsewhere = Elsewhere { processes: 0, connections: 0 };
 
     /// The least of limits: a quarter of it is the clients'.
--- a/crates/vetchbridge/src/clients/front.rs
+++ b/crates/vetchbridge/src/clients/front.rs
@@ -93,6 +93,11 @@
         self.connections.owe() || self.engine.requests() > 0
     }
 
+    /// Whether an answer has been sent whose client may not have taken it in.
+    pub fn lingers(&self) -> bool {
+        self.connections.linger()
+    }
+
     /// The longest time that a client waits by the settings in force.
     pub fn longest_deadline(&self) -> Duration {
         self.current.get().longest_deadline()
@@ -171,39 +176,40 @@
         let mut serving = http1::Builder::new().max_buf_size(HEAD_LIMIT).serve_connection(io, service);
         let mut state = self.life.subscribe();
         let mut successor = self.kin.successor();
-        let mut closing = false;
-        let served = loop {
-            let succeeded = async {
-                loop {
-                    drop(successor.wait_for(Option::is_some).await);
-                    connection.rests().await;
-                    // It may have gone again while a request was in flight.
-                    if self.kin.has_successor() {
-                        return;
-                    }
-                }
-            };
-            tokio::select! {
-                // First what has been read: a connection chosen to make room may have a request in hand.
-                biased;
-                served = Pin::new(&mut serving) => break served,
-                () = connection.ended() => return debug!("connection.evicted"),
-                () = async { drop(state.wait_for(|state| state.closes_idle()).await) }, if !closing => {
-                    closing = true;
-                    // One that has never been answered may have its request on the way: the answer will close it.
-                    if connection.kept() && !self.kin.has_successor() {
-                        Pin::new(&mut serving).graceful_shutdown();
-                    }
+        let succeeded = async {
+            loop {
+                drop(successor.wait_for(Option::is_some).await);
+                connection.rests().await;
+                // It may have gone again while a request was in flight.
+                if self.kin.has_successor() {
+                    return;
                 }
-                () = succeeded => {
-                    let stream = serving.into_parts().io.into_inner().stream;
-                    return self.pass(stream, connection.kept());
+            }
+        };
+        // One that has never been answered may have its request on the way: the answer will close it.
+        let drained = async {
+            loop {
+                drop(state.wait_for(|state| state.closes_idle()).await);
+                connection.idles().await;
+                if self.life.state().closes_idle() {
+                    return;
                 }
             }
         };
-        if let Err(error) = served {
-            debug!(%error, "connection.broke");
+        tokio::select! {
+            // First what has been read: a connection chosen to make room may have a request in hand.
+            biased;
+            served = Pin::new(&mut serving) => if let Err(error) = served {
+                debug!(%error, "connection.broke");
+            },
+            () = connection.ended() => debug!("connection.evicted"),
+            () = succeeded => {
+                let stream = serving.into_parts().io.into_inner().stream;
+                return self.pass(stream, connection.kept());
+            }
+            () = drained => debug!("connection.drained"),
         }
+        serving.into_parts().io.into_inner().close().await;
     }
 
     /// Gives a client connection between two requests to the successor. What the client writes meanwhile stays in the
--- a/crates/vetchbridge/src/serve.rs
+++ b/crates/vetchbridge/src/serve.rs
@@ -39,6 +39,10 @@
 /// Nothing must be owed for this long before the program ends; the last answers leave the socket meanwhile.
 const QUIET: Duration = Duration::from_millis(100);
 
+/// So much longer the clients of the last answers have to close their side: to end over what is unread would take those
+/// answers back.
+const LAST_WORDS: Duration = Duration::from_millis(200);
+
 /// Runs the daemon in the foreground until it is told to end and nothing is owed.
 pub async fn run(mut config: Config, flags: Flags, logs: Logs) -> Result<(), Box<dyn Error>> {
     let mut terminate = signal(SignalKind::terminate())?;
@@ -76,7 +80,8 @@
     sleep(LISTEN_ON).await;
     let mut quiet_since = Instant::now();
     let mut leaving = false;
-    while quiet_since.elapsed() < QUIET {
+    let lingers = |quiet: Duration| house.front.lingers() && quiet < QUIET + LAST_WORDS;
+    while quiet_since.elapsed() < QUIET || lingers(quiet_since.elapsed()) {
         sleep(QUIET / 10).await;
         if !leaving && !house.life.state().takes() {
             leaving = true;
--- /dev/null
+++ b/crates/vetchbridge/tests/closing.rs
@@ -0,0 +1,183 @@
+//! Stories of connections that the daemon ends: the last answer arrives whole, and what comes after it goes nowhere.
+#![allow(missing_docs)]
+
+mod common;
+
+use common::*;
+use platform::wire::Wire;
+use rstest::rstest;
+use std::time::Duration;
+use tokio::io::AsyncReadExt;
+
+/// A connection of which the other side alone has closed, in the kernel's words.
+const CLOSE_WAIT: &str = "08";
+const READY: &str = "GET /health/ready HTTP/1.1\r\nhost: x\r\n\r\n";
+/// A peer's answer that ends its connection, so that each job is seen to be dialled for.
+const ACCEPTED_LAST: &str = "HTTP/1.1 202 Accepted\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+
+fn post(id: &str, length: usize) -> String {
+    format!(
+        "POST /safe/k HTTP/1.1\r\nhost: x\r\nx-trace-id: {id}\r\ncontent-length: {length}\r\n\r\n{}",
+        "x".repeat(length)
+    )
+}
+
+/// The daemon closes its side, and then the client's kernel knows of no break, which would take back what is on its way.
+/// `daemon`: it goes on, and has answered another call after that; had it dropped the connection, that would be past.
+async fn ends_cleanly(client: &mut Wire, daemon: Option<&Stage>) {
+    let mut rest = Vec::new();
+    let (here, there) = ends(client);
+    client.socket().read_to_end(&mut rest).await.expect("no reset");
+    assert!(rest.is_empty(), "{}", rest.escape_ascii());
+    if let Some(stage) = daemon {
+        stage.readiness().await;
+    }
+    let state = entry(here, there).map(|(state, _)| state);
+    assert_eq!(state.as_deref(), Some(CLOSE_WAIT), "only the other side has closed");
+}
+
+/// An answer that ends its connection is not taken back because of what the daemon has not read.
+#[rstest]
+#[case::too_large("POST /safe/k HTTP/1.1\r\nhost: x\r\ncontent-length: 62914560\r\n\r\n", "413")]
+#[case::unreadable("POST /safe/k HTTP/1.1\r\nno header\r\n\r\n", "400")]
+#[case::no_such_method("PUT /safe/k HTTP/1.1\r\nhost: x\r\ncontent-length: 60000\r\n\r\n", "405")]
+#[case::last_by_wish("GET /health/ready HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n", "200")]
+#[timeout(HANG)]
+#[tokio::test]
+async fn an_answer_outlives_what_is_unread(#[case] head: &str, #[case] expected: &str) {
+    let stage = Stage::set(1).await;
+    let mut client = dial(stage.daemon.address).await;
+    stage.daemon.freeze().await;
+    client.send(&format!("{head}{}", "x".repeat(40_000))).await;
+    delivered(&mut client).await;
+    stage.daemon.thaw();
+    assert_eq!(status(&client.read().await), expected);
+    ends_cleanly(&mut client, Some(&stage)).await;
+    assert_eq!(stage.readiness().await.status(), "200");
+}
+
+/// What comes after a request whose answer ends the connection reaches no peer, whether it was read before or after.
+#[rstest]
+#[timeout(HANG)]
+#[tokio::test]
+async fn nothing_is_sent_on_of_what_follows_the_last_answer(#[values(100, 20_000)] length: usize) {
+    let mut stage = Stage::set(1).await;
+    stage.daemon.operate("quiesce").await;
+    let mut client = dial(stage.daemon.address).await;
+    client.send(&post("00000000000000a1", 4)).await;
+    let (number, mut peer) = stage.peer().await;
+    peer.read().await.expect("the job");
+    client.send(&post("00000000000000a2", length)).await;
+    peer.send(ACCEPTED_LAST).await;
+    stage.call_back("00000000000000a1", number, "done").await;
+    let answer = client.read().await.expect("an answer");
+    assert_eq!((answer.status(), answer.header("connection")), ("200", Some("close")));
+    client.send(&post("00000000000000a3", length)).await;
+    ends_cleanly(&mut client, Some(&stage)).await;
+    assert_eq!(stage.only_one_more_arrives().await, 0);
+}
+
+/// Idle connections are closed while the next request is on the way: what has been read of it is read on and answered.
+#[rstest]
+#[timeout(HANG)]
+#[tokio::test]
+async fn half_a_request_is_no_idle_connection(#[values(1, 30, 120)] cut: usize) {
+    let stage = Stage::set(1).await;
+    let (mut client, mut idle) = (dial(stage.daemon.address).await, dial(stage.daemon.address).await);
+    for kept in [&mut client, &mut idle] {
+        kept.send(READY).await;
+        assert_eq!(status(&kept.read().await), "200");
+    }
+    let job = post("00000000000000a1", 60);
+    client.send(&job[..cut]).await;
+    delivered(&mut client).await;
+    stage.daemon.operate("quiesce").await;
+    // Closed half a second later, and the other one with it.
+    ends_cleanly(&mut idle, Some(&stage)).await;
+    client.send(&job[cut..]).await;
+    let (number, mut peer) = tokio::select! {
+        asked = stage.peer() => asked,
+        ended = client.read() => panic!("it was ended with {ended:?}"),
+    };
+    peer.read().await.expect("the job");
+    peer.send(ACCEPTED_LAST).await;
+    stage.call_back("00000000000000a1", number, "done").await;
+    let answer = client.read().await.expect("an answer");
+    assert_eq!((answer.status(), answer.header("connection")), ("200", Some("close")));
+    ends_cleanly(&mut client, Some(&stage)).await;
+}
+
+/// A request and the moment in which its idle connection is closed, found by the daemon together: it is answered whole,
+/// or the connection ends with nothing sent on.
+#[rstest]
+#[timeout(HANG)]
+#[tokio::test]
+async fn a_request_that_meets_the_idle_close_is_answered_or_goes_nowhere() {
+    let mut stage = Stage::set(1).await;
+    let mut client = dial(stage.daemon.address).await;
+    client.send(READY).await;
+    assert_eq!(status(&client.read().await), "200");
+    stage.daemon.operate("quiesce").await;
+    stage.daemon.freeze().await;
+    // Its clock goes on, and passes the moment for certain.
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    client.send(&post("00000000000000a1", 4)).await;
+    delivered(&mut client).await;
+    stage.daemon.thaw();
+    let served = async {
+        let (number, mut peer) = stage.peer().await;
+        peer.read().await.expect("the job");
+        peer.send(ACCEPTED_LAST).await;
+        stage.call_back("00000000000000a1", number, "done").await;
+    };
+    let answer = tokio::select! {
+        // Either the peer is asked, and then the client has its answer, or the connection ends.
+        () = served => Some(client.read().await.expect("an answer")),
+        ended = client.read() => ended,
+    };
+    if let Some(answer) = answer {
+        assert_eq!((answer.status(), answer.header("connection")), ("200", Some("close")));
+    }
+    ends_cleanly(&mut client, Some(&stage)).await;
+    assert_eq!(stage.only_one_more_arrives().await, 0);
+}
+
+/// The last answers of a process that ends are whole, whether the client goes on writing before or after them.
+#[rstest]
+#[timeout(HANG)]
+#[tokio::test]
+async fn the_end_of_the_process_takes_no_answer_back() {
+    let mut stage = Stage::set(1).await;
+    let (mut before, _) = stage.job("safe", "k").await;
+    let (mut after, _) = stage.job("safe", "k").await;
+    for _ in 0..2 {
+        let (_, mut peer) = stage.peer().await;
+        peer.read().await.expect("the job");
+    }
+    before.send(&post("00000000000000a2", 20_000)).await;
+    stage.daemon.signal("-TERM");
+    assert_eq!(status(&after.read().await), "503");
+    after.send(&post("00000000000000a3", 20_000)).await;
+    assert!(stage.daemon.child.wait().expect("it ends").success());
+    assert_eq!(status(&before.read().await), "503");
+    ends_cleanly(&mut before, None).await;
+    ends_cleanly(&mut after, None).await;
+}
+
+/// Who makes room is told so by an end of stream, and those who are slow to go keep no newcomer out.
+#[rstest]
+#[timeout(HANG)]
+#[tokio::test]
+async fn who_makes_room_is_not_reset_and_keeps_nobody_out() {
+    let mut stage = Stage::set(1).await;
+    let mut crowd = Vec::new();
+    for _ in 0..4 * SOCKETS {
+        let mut kept = dial(stage.daemon.address).await;
+        kept.send(READY).await;
+        assert_eq!(status(&kept.read().await), "200");
+        crowd.push(kept);
+    }
+    // The first to come was the first to go.
+    ends_cleanly(&mut crowd[0], Some(&stage)).await;
+    assert_eq!(stage.only_one_more_arrives().await, 0);
+}
