Let cold peers in by their warmth and widen keys by what all may see, not by what one saw

A key that one dispatcher alone had seen once was spread over several workers (losing_a_worker_moves_only_its_own_keys, a_worker_that_keeps_a_job_from_starting_...), and a key known to be heavy was let in at a cold worker by every dispatcher once (122 of 400). Change: where nothing tells of load, one sighting counts less the n-th part, for n dispatchers, and against 30 requests at least, so that one alone and few requests spread nothing; a heavy key is let in at a cold worker with a chance that grows with its warmth, where it was the share at the start throughout; without keepers any of a key's places will do. Measured: all stories of the module pass, none changed.

--- a/crates/silverproxy/src/policy.rs
+++ b/crates/silverproxy/src/policy.rs
@@ -426,11 +426,8 @@
         let wait = (ASK_AGAIN.0 << again).min(ASK_AGAIN.1).max(herd);
         let random = self.random();
         let pause = if first { spread as f64 * random } else { wait as f64 * (0.5 + random) } as Micros;
-        if pause == 0 {
-            actions.push(Action::Subscribe(true));
-        } else {
-            actions.push(Action::SetTimer { at: now + pause, token: TimerToken(TIMER_ASK << 56) });
-        }
+        let timer = Action::SetTimer { at: now + pause, token: TimerToken(TIMER_ASK << 56) };
+        actions.push(if pause == 0 { Action::Subscribe(true) } else { timer });
         self.asked += 1;
     }
 
@@ -535,9 +532,10 @@
         if self.keys.len() > MAX_KEYS {
             self.keys.retain(|_, e| decayed(*e) >= 1.0);
         }
-        // One sighting proves nothing; but where nothing tells of load a key is as heavy as it may be.
-        let proven = if self.keepers() || self.settings.tells_start { count - 1.0 } else { count };
-        let share = proven.max(0.0) / (self.requests.0 + 5.0);
+        // One sighting proves nothing; but where nothing tells of load, all may have seen as much.
+        let told = self.keepers() || self.settings.tells_start;
+        let (all, least) = if told { (1.0, 5.0) } else { (f64::from(self.settings.dispatchers), 30.0) };
+        let share = (count - 1.0 / all).max(0.0) / (self.requests.0 + least);
         let workers = share * self.ready_count as f64 / KEY_FILL;
         (workers.ceil() as usize).clamp(1, (self.ready_count / 2).max(1))
     }
@@ -572,7 +570,8 @@
                 }
                 continue;
             }
-            let bold = light || self.random() < self.settings.rules.cold_share;
+            let place = if self.keepers() { place } else { 0 };
+            let bold = light || self.random() < self.workers[at].warmth(now, &self.settings.rules);
             if self.has_room(now, at, slots, place + usize::from(!bold)) {
                 if attempts > 0 && self.workers[at].held(now).is_none() {
                     if self.budget < 1.0 {
@@ -610,16 +609,16 @@
     }
 
     /// Whether a candidate may be sent these slots now. A cold worker must be known to have room, but for its
-    /// own keys, few of a heavy one (place 0), or this one's share of it be left; it begins with half its slots.
+    /// own keys, few of a heavy one (place 0), and some of a share be left; it begins with half of its slots.
     fn has_room(&self, now: Micros, at: usize, slots: f64, place: usize) -> bool {
         let worker = &self.workers[at];
         let warmth = worker.warmth(now, &self.settings.rules);
         let fair = self.own_bound(now, at).is_none_or(|bound| worker.own_slots() + slots <= bound.max(slots));
         let known = place == 0 || worker.held(now).is_some();
-        let cold_room = if self.keepers() { known } else { self.poured(now, at).1 >= 0.0 };
+        let left = self.keepers() || self.poured(now, at).1 >= 0.0;
         let waits = self.settings.tells_start && worker.keeps_waiting(now);
         let busy = waits || worker.busy(now, slots, self.room * (COLD_SLOTS + warmth).min(1.0));
-        (warmth >= 1.0 || cold_room) && fair && !busy
+        (warmth >= 1.0 || known && left) && fair && !busy
     }
 
     /// Own slots out at which a worker is busy where nothing tells how full it is: its share of all of them,
