Look again at the first byte: not a byte for what no longer holds or to a peer that spoke

Cause: a dial may last a second and more. At its end the request was written whatever had happened but for a drain: the client gone where attempts can't be called off, the repeat window of a keyed job over (peers/mod.rs attempt, request.rs run). A kept connection that had ended or held a second answer was written to while the runtime had not yet looked at its socket; the request was then told as one that may have run, or had the stray answer for its own (peers/exchange.rs exchange). A 202 or a 503 whose body never ends was waited for and told as silence, and the taken job was not called off by DELETE. A callback of an earlier attempt ended a later one at the same peer, even one that still dialled, whose request then was written in the background (peers/mod.rs attempt, the inbox). Ruled out: wrong counts of bytes for six shapes of a request, answers of 1xx. Change: the connection asks before an exchange's first byte whether its terms hold, and the kernel whether the socket is silent; if not, it writes nothing and ends, and the attempt never ran (moot, or could not connect). A connection rests for 20 ms after an answer, so that a second one is found out. A request that was dropped is not flushed any more. The head of an answer decides; the body is read behind it. Callbacks before the last byte but a result, and for 2 s repeats of the one that ended an attempt before the next one's 202, are passed over. The cost in connections and processor time is not measured.

--- a/crates/vetchbridge/src/peers/callbacks.rs
+++ b/crates/vetchbridge/src/peers/callbacks.rs
@@ -1,17 +1,23 @@
 //! Callbacks: a peer's words on a job, and the table of the attempts that wait for them.
 //!
-//! Owns the form of those words. Each attempt owns its place in the table and gives it back when it is dropped. It must
-//! never judge what a peer says, nor keep a word that no attempt here waits for.
+//! Owns the form of those words, and for [`REPEATS`] which of them ended an attempt without a result. Each attempt owns its
+//! place in the table and gives it back when it is dropped. It must never judge what a peer says, nor keep a word that no
+//! attempt here waits for.
 
 use super::{lock, request_id, worker_id};
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 use silverproxy::interface::{RequestId, WorkerId};
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
+use tokio::time::Instant;
 use tracing::warn;
 
+/// A peer that was not answered says the same again; so long after an attempt's end, such a word is still about that one.
+const REPEATS: Duration = Duration::from_secs(2);
+
 /// A peer's word on a job, sent to the address that clients use.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Callback {
@@ -50,32 +56,58 @@
     Lost,
 }
 
-type Table = Mutex<HashMap<(RequestId, WorkerId), UnboundedSender<Callback>>>;
+type Key = (RequestId, WorkerId);
+
+#[derive(Default)]
+struct Table {
+    waiting: HashMap<Key, UnboundedSender<Callback>>,
+    /// What ended attempts that a peer may get again, the earliest first.
+    ended: VecDeque<(Instant, Key, CallbackState)>,
+}
 
 /// The table of callbacks.
 #[derive(Default)]
-pub(super) struct Callbacks(Arc<Table>);
+pub(super) struct Callbacks(Arc<Mutex<Table>>);
 
 /// An attempt's place in the table of callbacks.
 pub(super) struct Inbox {
-    table: Arc<Table>,
-    key: (RequestId, WorkerId),
+    table: Arc<Mutex<Table>>,
+    key: Key,
+    /// What ended this request's earlier attempts at the same peer, lately.
+    ended_before: Vec<CallbackState>,
     /// What its peer says, in the order it came.
     pub(super) calls: UnboundedReceiver<Callback>,
 }
 
 impl Drop for Inbox {
     fn drop(&mut self) {
-        lock(&self.table).remove(&self.key);
+        lock(&self.table).waiting.remove(&self.key);
+    }
+}
+
+impl Inbox {
+    /// Whether this word, come before the attempt was taken, is one that has ended an earlier attempt already.
+    pub(super) fn repeats(&self, state: CallbackState) -> bool {
+        self.ended_before.contains(&state)
+    }
+
+    /// Keeps in mind what ended this attempt, for a later one at the same peer.
+    pub(super) fn ended(&self, state: CallbackState) {
+        lock(&self.table).ended.push_back((Instant::now(), self.key, state));
     }
 }
 
 impl Callbacks {
     /// A place for an attempt, from before its first byte on.
     pub(super) fn listen(&self, id: RequestId, worker: WorkerId) -> Inbox {
-        let (sender, calls) = unbounded_channel();
-        lock(&self.0).insert((id, worker), sender);
-        Inbox { table: self.0.clone(), key: (id, worker), calls }
+        let ((sender, calls), key) = (unbounded_channel(), (id, worker));
+        let table = &mut *lock(&self.0);
+        table.waiting.insert(key, sender);
+        while table.ended.front().is_some_and(|(at, ..)| at.elapsed() >= REPEATS) {
+            table.ended.pop_front();
+        }
+        let ended_before = table.ended.iter().filter(|(_, of, _)| *of == key).map(|(.., state)| *state);
+        Inbox { table: self.0.clone(), key, ended_before: ended_before.collect(), calls }
     }
 
     /// Passes a callback to the attempt that it is about; false if none such is out here.
@@ -85,7 +117,7 @@
             return true;
         };
         let table = lock(&self.0);
-        let Some(inbox) = table.get(&(id, worker_id(&callback.from))) else { return false };
+        let Some(inbox) = table.waiting.get(&(id, worker_id(&callback.from))) else { return false };
         // Failure means that the attempt is ending in this instant.
         drop(inbox.send(callback.clone()));
         true
--- a/crates/vetchbridge/src/peers/dial.rs
+++ b/crates/vetchbridge/src/peers/dial.rs
@@ -1,19 +1,24 @@
 //! Connections to peers: their dial, the count of them, and a meter on each.
 //!
-//! Owns what is known of bytes written, by which an exchange that broke is told from one that may have run. It must
-//! never choose where to dial, nor end a connection.
+//! Owns what is known of bytes written, by which an exchange that broke is told from one that may have run, and the check
+//! before an exchange's first byte. It must never choose where to dial, nor end a connection that is in use and sound.
 
+use super::lock;
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper::Uri;
 use hyper_util::client::legacy::connect::{Connected, Connection, HttpConnector};
 use hyper_util::rt::TokioIo;
+use rustix::io::Errno;
+use rustix::net::{recv, RecvFlags};
 use std::future::Future;
 use std::io::{self, IoSlice};
 use std::pin::Pin;
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
-use std::sync::Arc;
-use std::task::{Context, Poll};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::task::{ready, Context, Poll};
+use std::time::Duration;
 use tokio::net::TcpStream;
+use tokio::time::{sleep_until, Instant, Sleep};
 use tower_service::Service;
 
 /// How many of a kind there are.
@@ -42,24 +47,54 @@
     }
 }
 
-/// Counts what is written to a connection, to tell requests that were written whole from those that were not.
+/// How long a connection rests after an answer. A peer that answers twice is found out by then; the second answer would
+/// else be taken for that of the next request.
+pub(super) const REST: Duration = Duration::from_millis(20);
+
+/// Whether an exchange still may begin, asked as its first byte is about to be written.
+pub(super) type MayBegin = Box<dyn Fn() -> bool + Send>;
+
+/// Counts what is written to a connection, to tell requests that were written whole from those that were not, and holds
+/// back a request that no longer may be written.
 #[derive(Clone, Default)]
-pub(super) struct Meter(Arc<(AtomicU64, AtomicU64)>);
+pub(super) struct Meter(Arc<Mutex<State>>);
+
+#[derive(Default)]
+struct State {
+    written: u64,
+    /// So many of them belong to exchanges that are over.
+    before: u64,
+    /// There while the exchange in hand has no byte written.
+    may_begin: Option<MayBegin>,
+    /// Not a byte more goes out.
+    closed: bool,
+    last_read: Option<Instant>,
+}
 
 impl Meter {
-    /// All that was written belongs to exchanges that are over.
-    pub(super) fn settle(&self) {
-        self.0 .1.store(self.0 .0.load(Ordering::Relaxed), Ordering::Relaxed);
+    /// The next exchange's request has been handed to this connection, and is not written yet. Both happen on the one
+    /// thread, the writing in a task of the connection's own.
+    pub(super) fn begin(&self, may_begin: MayBegin) {
+        let state = &mut *lock(&self.0);
+        (state.before, state.may_begin) = (state.written, Some(may_begin));
     }
 
     /// Bytes written for the exchange in hand.
     pub(super) fn open(&self) -> u64 {
-        self.0 .0.load(Ordering::Relaxed) - self.0 .1.load(Ordering::Relaxed)
+        let state = lock(&self.0);
+        state.written - state.before
+    }
+
+    /// Nothing more is written to this connection, which ends it.
+    pub(super) fn close(&self) {
+        lock(&self.0).closed = true;
     }
 
     fn count(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         if let Poll::Ready(Ok(bytes)) = &written {
-            self.0 .0.fetch_add(*bytes as u64, Ordering::Relaxed);
+            let state = &mut *lock(&self.0);
+            state.written += *bytes as u64;
+            state.may_begin = state.may_begin.take().filter(|_| *bytes == 0);
         }
         written
     }
@@ -80,9 +115,41 @@
 pub(super) struct Metered {
     io: TokioIo<TcpStream>,
     meter: Meter,
+    rest: Option<Pin<Box<Sleep>>>,
     _counted: Counted,
 }
 
+impl Metered {
+    /// Before a request's first byte: the connection must have rested and have nothing to say, not even that it has ended,
+    /// and the request must still be wanted. An error here is one before any byte.
+    fn poll_may_write(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let rested = {
+            let state = lock(&self.meter.0);
+            match (state.closed, &state.may_begin) {
+                (true, _) => return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into())),
+                (false, None) => return Poll::Ready(Ok(())),
+                (false, Some(_)) => state.last_read.map(|read| read + REST),
+            }
+        };
+        if let Some(rested) = rested.filter(|rested| self.rest.is_none() && Instant::now() < *rested) {
+            self.rest = Some(Box::pin(sleep_until(rested)));
+        }
+        if let Some(rest) = &mut self.rest {
+            ready!(rest.as_mut().poll(cx));
+            self.rest = None;
+        }
+        // Asked of the kernel: what the runtime knows of a socket is as old as its last look at all of them.
+        let says = recv(self.io.inner(), &mut [0; 1], RecvFlags::PEEK | RecvFlags::DONTWAIT);
+        let silent = says == Err(Errno::AGAIN);
+        let wanted = lock(&self.meter.0).may_begin.as_ref().is_none_or(|may_begin| may_begin());
+        if silent && wanted {
+            return Poll::Ready(Ok(()));
+        }
+        self.meter.close();
+        Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()))
+    }
+}
+
 impl Service<Uri> for Dialer {
     type Response = Metered;
     type Error = <HttpConnector as Service<Uri>>::Error;
@@ -94,7 +161,9 @@
 
     fn call(&mut self, uri: Uri) -> Self::Future {
         let (dial, counted) = (self.0.call(uri), self.1.one());
-        Box::pin(async move { Ok(Metered { io: dial.await?, meter: Meter::default(), _counted: counted }) })
+        Box::pin(async move {
+            Ok(Metered { io: dial.await?, meter: Meter::default(), rest: None, _counted: counted })
+        })
     }
 }
 
@@ -110,12 +179,23 @@
         cx: &mut Context<'_>,
         buffer: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.io).poll_read(cx, buffer)
+        let read = Pin::new(&mut self.io).poll_read(cx, buffer);
+        if read.is_ready() {
+            let state = &mut *lock(&self.meter.0);
+            if state.may_begin.is_some() {
+                // Bytes or an end, and no request to answer: what follows must not be read together with them.
+                state.closed = true;
+                return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
+            }
+            state.last_read = Some(Instant::now());
+        }
+        read
     }
 }
 
 impl Write for Metered {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, data: &[u8]) -> Poll<io::Result<usize>> {
+        ready!(self.poll_may_write(cx))?;
         let written = Pin::new(&mut self.io).poll_write(cx, data);
         self.meter.count(written)
     }
@@ -125,6 +205,7 @@
         cx: &mut Context<'_>,
         data: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        ready!(self.poll_may_write(cx))?;
         let written = Pin::new(&mut self.io).poll_write_vectored(cx, data);
         self.meter.count(written)
     }
--- a/crates/vetchbridge/src/peers/exchange.rs
+++ b/crates/vetchbridge/src/peers/exchange.rs
@@ -3,21 +3,23 @@
 //! Owns what is written to peers and the bound on what is read. It must never say what an answer means for a job, and
 //! never write a header that [`written_length`] does not count.
 
-use super::dial::Meter;
+use super::dial::{MayBegin, Meter};
 use super::{load, lock, Peer};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::{Body, Incoming};
 use hyper::header::{CONTENT_LENGTH, HOST};
 use hyper::http::uri::{PathAndQuery, Scheme};
 use hyper::{HeaderMap, Method, Request, StatusCode, Uri};
 use hyper_util::client::legacy::connect::{capture_connection, CaptureConnection};
-use std::future::Future;
+use std::future::{poll_fn, Future};
 use std::pin::Pin;
 use std::time::Duration;
+use tokio::time::timeout;
 use tracing::debug;
 
 /// How long a peer is given to answer the call that gives an attempt up.
-pub(super) const GIVE_UP_WAIT: Duration = Duration::from_secs(2);
+const GIVE_UP_WAIT: Duration = Duration::from_secs(2);
 /// The longest body of an answer.
 const BODY_LIMIT: usize = 64 * 1024;
 
@@ -42,12 +44,11 @@
     MayHaveRun,
 }
 
-/// A peer's answer.
+/// A peer's answer: its head has come.
 pub(super) struct Reply {
     pub(super) status: StatusCode,
     headers: HeaderMap,
-    /// Empty if it was too long; `None` if it broke off.
-    pub(super) body: Option<Bytes>,
+    body: Incoming,
 }
 
 impl Reply {
@@ -60,29 +61,79 @@
     pub(super) fn load(&self) -> Option<&[u8]> {
         self.headers.get(load::HEADER).map(|value| value.as_bytes())
     }
+
+    /// The body once it is whole; empty if it was too long, `None` if it broke off.
+    pub(super) async fn body(&mut self) -> Option<Bytes> {
+        match Limited::new(&mut self.body, BODY_LIMIT).collect().await {
+            Ok(body) => Some(body.to_bytes()),
+            Err(error) => error.is::<LengthLimitError>().then(Bytes::new),
+        }
+    }
+
+    /// Reads the body although nobody waits for it: the connection serves again only after that.
+    pub(super) fn drain(mut self) {
+        if !self.body.is_end_stream() {
+            tokio::spawn(timeout(GIVE_UP_WAIT, async move { drop(self.body().await) }));
+        }
+    }
 }
 
-type Answered = Result<Reply, Broken>;
+type Answer = Pin<Box<dyn Future<Output = Result<Reply, Broken>> + Send>>;
 
-/// One request to a peer and its answer; dropping it closes the connection it was written to.
-pub(super) struct Exchange {
+/// What can be seen of an exchange from outside, up to its answer: from then on the connection may be another's.
+pub(super) struct Seen {
     pub(super) connection: CaptureConnection,
-    pub(super) answer: Pin<Box<dyn Future<Output = Answered> + Send>>,
+    length: u64,
 }
 
-impl Exchange {
+impl Seen {
     pub(super) fn connected(&self) -> bool {
         self.connection.connection_metadata().is_some()
     }
+
+    /// Whether its first byte has been written.
+    pub(super) fn begun(&self) -> bool {
+        meter(&self.connection).is_some_and(|meter| meter.open() > 0)
+    }
+
+    /// Whether its last byte has been written.
+    pub(super) fn written(&self) -> bool {
+        meter(&self.connection).is_some_and(|meter| meter.open() >= self.length)
+    }
+}
+
+/// The meter of the connection that a request was handed to.
+fn meter(connection: &CaptureConnection) -> Option<Meter> {
+    let mut extras = hyper::http::Extensions::new();
+    connection.connection_metadata().as_ref()?.get_extras(&mut extras);
+    extras.remove::<Meter>()
+}
+
+/// One request to a peer and its answer; dropping that closes the connection it was written to.
+pub(super) struct Exchange {
+    pub(super) seen: Seen,
+    pub(super) answer: Answer,
+}
+
+/// A connection while it has the request: without an answer it is of no further use, and what it holds of the request must
+/// not be written any more.
+struct InHand(Option<Meter>);
+
+impl Drop for InHand {
+    fn drop(&mut self) {
+        self.0.iter().for_each(Meter::close);
+    }
 }
 
 impl Peer {
-    /// A request to this peer; `job` is what it is given, and the time that it has.
+    /// A request to this peer, written if it still may begin once a connection is there; `job` is what it is given, and the
+    /// time that it has.
     pub(super) fn exchange(
         &self,
         method: Method,
         target: &PathAndQuery,
         job: Option<(&Parcel, Duration)>,
+        may_begin: MayBegin,
     ) -> Exchange {
         let mut request =
             Request::new(Full::new(job.map(|(parcel, _)| parcel.body.clone()).unwrap_or_default()));
@@ -108,34 +159,40 @@
         let length = written_length(&request);
         let connection = capture_connection(&mut request);
         let client = lock(&self.client).clone();
-        let (seen, name) = (connection.clone(), self.name.clone());
+        let (name, seen) = (self.name.clone(), Seen { connection: connection.clone(), length });
         let answer = async move {
-            let response = client.request(request).await;
-            let meter = {
-                let connected = connection.connection_metadata();
-                let mut extras = hyper::http::Extensions::new();
-                connected.iter().for_each(|connected| connected.get_extras(&mut extras));
-                extras.remove::<Meter>()
-            };
+            let (mut in_hand, mut may_begin) = (InHand(None), Some(may_begin));
+            let mut answering = client.request(request);
+            let response = poll_fn(|cx| {
+                let polled = Pin::new(&mut answering).poll(cx);
+                if in_hand.0.is_none() {
+                    in_hand.0 = meter(&connection);
+                    let met = in_hand.0.as_ref().zip(may_begin.take_if(|_| in_hand.0.is_some()));
+                    met.into_iter().for_each(|(meter, may_begin)| meter.begin(may_begin));
+                }
+                polled
+            })
+            .await;
+            let written = in_hand.0.as_ref().map_or(0, Meter::open);
             match response {
-                Ok(response) => {
-                    meter.iter().for_each(Meter::settle);
+                Ok(response) if written > 0 => {
+                    in_hand.0 = None;
                     let (head, body) = response.into_parts();
-                    // The connection serves again only after the whole answer has been read.
-                    let body = match Limited::new(body, BODY_LIMIT).collect().await {
-                        Ok(body) => Some(body.to_bytes()),
-                        Err(error) => error.is::<LengthLimitError>().then(Bytes::new),
-                    };
                     Ok(Reply { status: head.status, headers: head.headers, body })
                 }
+                Ok(_) => {
+                    // Whatever it answers, it is not this request.
+                    debug!(peer = name, "attempt.stray_answer");
+                    Err(Broken::NeverRan)
+                }
                 Err(error) => {
-                    let never_ran = error.is_connect() || meter.is_none_or(|meter| meter.open() < length);
+                    let never_ran = error.is_connect() || written < length;
                     debug!(peer = name, ?error, never_ran, "attempt.broke");
                     Err(if never_ran { Broken::NeverRan } else { Broken::MayHaveRun })
                 }
             }
         };
-        Exchange { connection: seen, answer: Box::pin(answer) }
+        Exchange { seen, answer: Box::pin(answer) }
     }
 
     /// Gives an attempt up: after the 202 by a call; before it, dropping the exchange closes the connection.
@@ -143,17 +200,21 @@
         if accepted {
             // An id is 16 hex digits, so this is a path.
             let Ok(target) = format!("/jobs/{id}").parse() else { return };
-            let call = self.exchange(Method::DELETE, &target, None);
-            tokio::spawn(tokio::time::timeout(GIVE_UP_WAIT, call.answer));
+            read_out(self.exchange(Method::DELETE, &target, None, Box::new(|| true)).answer);
         }
     }
 }
 
+/// Sees an exchange through whose answer nobody waits for.
+pub(super) fn read_out(answer: Answer) {
+    tokio::spawn(timeout(GIVE_UP_WAIT, async { answer.await.map(Reply::drain) }));
+}
+
 /// Bytes that this request takes on a connection: every header is set by us, hyper adds none.
 fn written_length(request: &Request<Full<Bytes>>) -> u64 {
     let target = request.uri().path_and_query().map_or(1, |target| target.as_str().len());
     let line = request.method().as_str().len() + 1 + target + " HTTP/1.1\r\n".len();
     let headers: usize = request.headers().iter().map(|(n, v)| n.as_str().len() + v.len() + 4).sum();
-    let body = hyper::body::Body::size_hint(request.body()).exact().unwrap_or(0);
+    let body = Body::size_hint(request.body()).exact().unwrap_or(0);
     (line + headers + 2) as u64 + body
 }
--- a/crates/vetchbridge/src/peers/mod.rs
+++ b/crates/vetchbridge/src/peers/mod.rs
@@ -17,8 +17,8 @@
 
 use bytes::Bytes;
 use callbacks::Callbacks;
-use dial::Dialer;
-use exchange::{Broken, Reply, GIVE_UP_WAIT};
+use dial::{Dialer, REST};
+use exchange::{Broken, Exchange};
 use http_body_util::Full;
 use hyper::http::uri::{Authority, PathAndQuery};
 use hyper::{Method, StatusCode};
@@ -28,9 +28,11 @@
 use load::Reports;
 use silverproxy::interface::{ListKind, LoadReport, MemberState, Note, RequestId, Status, WorkerId};
 use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::sync::{oneshot, watch, Semaphore};
+use tokio::time::Instant;
 use tracing::{debug, warn};
 
 /// Idle connections kept for one peer; a job holds one only until its 202.
@@ -50,6 +52,25 @@
     Not(Status),
 }
 
+/// What an attempt is sent under; it is looked at again when the first byte is about to be written, since a connection may
+/// have taken long to come.
+#[derive(Clone, Debug)]
+pub struct Terms {
+    /// How long the attempt waits for its end.
+    pub wait: Duration,
+    /// Its first byte must be written within this time.
+    pub begin_within: Duration,
+    /// Nobody waits for the request any more.
+    pub over: Arc<AtomicBool>,
+}
+
+impl Terms {
+    /// Of a request that somebody waits for, for so long.
+    pub fn within(wait: Duration) -> Terms {
+        Terms { wait, begin_within: wait, over: Arc::default() }
+    }
+}
+
 /// The number by which the module knows a peer: a hash of its name alone (FNV-1a), so that all schedulers agree.
 pub fn worker_id(name: &str) -> WorkerId {
     let hash = |h: u64, b: u8| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3);
@@ -236,48 +257,58 @@
         }
         let until = tokio::time::sleep(PROBE_WAIT);
         tokio::pin!(until);
-        let mut waiting_for_connection = true;
-        let mut exchange = peer.exchange(Method::GET, &PathAndQuery::from_static("/stats"), None);
+        let mut unwritten = true;
+        let may_begin = Box::new({
+            let taking = taking.clone();
+            move || *taking.borrow()
+        });
+        let Exchange { seen, answer } =
+            peer.exchange(Method::GET, &PathAndQuery::from_static("/stats"), None, may_begin);
+        let whole = async {
+            let mut reply = answer.await?;
+            let body = reply.body().await;
+            Ok((reply, body))
+        };
+        tokio::pin!(whole);
         let answered = loop {
             tokio::select! {
                 biased;
-                _ = taking.wait_for(|taking| !taking), if waiting_for_connection => {
-                    waiting_for_connection = false;
-                    if !exchange.connected() {
+                _ = taking.wait_for(|taking| !taking), if unwritten => {
+                    unwritten = false;
+                    if !seen.begun() {
                         return (Status::ConnectFailed, None);
                     }
                 }
-                answered = &mut exchange.answer => break answered,
+                answered = &mut whole => break answered,
                 () = &mut until => {
-                    let connected = exchange.connected();
-                    return (if connected { Status::Timeout } else { Status::ConnectFailed }, None);
+                    return (if seen.connected() { Status::Timeout } else { Status::ConnectFailed }, None);
                 }
             }
         };
-        let reply = match answered {
-            Ok(reply) => reply,
+        let (reply, body) = match answered {
+            Ok(answered) => answered,
             Err(Broken::NeverRan) => return (Status::ConnectFailed, None),
             Err(Broken::MayHaveRun) => return (Status::Reset, None),
         };
-        let status = match (reply.status, &reply.body) {
+        let status = match (reply.status, &body) {
             (_, None) => return (Status::Reset, None),
             (StatusCode::OK, _) => Status::Ok,
             (StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS, _) => Status::Full,
             _ => return (Status::Error, None),
         };
         let reports = *lock(&self.reports);
-        let body = reply.body.as_deref().filter(|body| !body.is_empty());
+        let body = body.as_deref().filter(|body| !body.is_empty());
         (status, reports.of_probe(body.or_else(|| reply.load())))
     }
 
     /// One attempt, from its dial to its outcome, with the load report that came with what ended it; waits no longer
-    /// than `wait`.
+    /// than the terms say.
     pub async fn attempt(
         &self,
         id: RequestId,
         worker: WorkerId,
         parcel: &Parcel,
-        wait: Duration,
+        terms: Terms,
         mut cancelled: oneshot::Receiver<()>,
         note: impl Fn(Note),
     ) -> (Ended, Option<LoadReport>) {
@@ -287,41 +318,54 @@
         };
         // Before the first byte: a callback may overtake the 202.
         let mut inbox = self.callbacks.listen(id, worker);
+        let Terms { wait, begin_within, over } = terms;
+        let begin_by = Instant::now() + begin_within.min(wait);
         let until = tokio::time::sleep(wait);
         tokio::pin!(until);
         let mut taking = peer.taking.subscribe();
-        let mut waiting_for_connection = true;
-        let mut exchange = peer.exchange(Method::POST, &parcel.target, Some((parcel, wait)));
-        let mut accepted = false;
+        let wanted = move || Instant::now() < begin_by && !over.load(Ordering::Relaxed);
+        let may_begin = Box::new({
+            let (taking, wanted) = (taking.clone(), wanted.clone());
+            move || *taking.borrow() && wanted()
+        });
+        let Exchange { seen, mut answer } =
+            peer.exchange(Method::POST, &parcel.target, Some((parcel, wait)), may_begin);
+        let (mut unwritten, mut accepted) = (true, false);
         // A peer takes a job at once or not at all: one that stays silent must not hold it to its deadline.
-        let mut connection = exchange.connection.clone();
+        let mut connection = seen.connection.clone();
         let taken_within = lock(&self.times).taken_within;
         let silence = async {
             drop(connection.wait_for_connection_metadata().await);
-            tokio::time::sleep(taken_within).await;
+            tokio::time::sleep(REST + taken_within).await;
         };
         tokio::pin!(silence);
         loop {
             tokio::select! {
                 biased;
                 Ok(()) = &mut cancelled => {
+                    let begun = accepted || seen.begun();
                     peer.give_up(accepted, &parcel.id);
-                    return not(Status::Cancelled);
+                    return not(if begun { Status::Cancelled } else { Status::Moot });
                 }
-                // Told to leave while the attempt waits for a connection: not one byte may go there now.
-                _ = taking.wait_for(|taking| !taking), if waiting_for_connection => {
-                    waiting_for_connection = false;
-                    if !exchange.connected() {
+                // Told to leave while the attempt waits for its first byte: not one may go there now.
+                _ = taking.wait_for(|taking| !taking), if unwritten => {
+                    unwritten = false;
+                    if !seen.begun() {
                         return not(Status::ConnectFailed);
                     }
                 }
                 Some(call) = inbox.calls.recv() => {
-                    if !accepted {
+                    // Nothing is said of what has not been written whole, and a repeat is about an earlier attempt here. A
+                    // result is one of this request, whichever attempt it is from.
+                    let of_earlier = !accepted && (!seen.written() || inbox.repeats(call.state));
+                    if of_earlier && call.state != CallbackState::Done {
+                        debug!(request = parcel.id, peer = peer.name, state = ?call.state, "callback.of_earlier");
+                        continue;
+                    }
+                    if !accepted && seen.written() {
                         // The 202 is under way; reading it saves the connection.
-                        let answer = std::mem::replace(&mut exchange.answer, Box::pin(std::future::pending()));
-                        tokio::spawn(tokio::time::timeout(GIVE_UP_WAIT, answer));
-                        accepted = true;
-                        waiting_for_connection = false;
+                        exchange::read_out(std::mem::replace(&mut answer, Box::pin(std::future::pending())));
+                        (accepted, unwritten) = (true, false);
                     }
                     let ended = match call.state {
                         CallbackState::Started => {
@@ -337,14 +381,18 @@
                         CallbackState::Returned => Ended::Not(Status::Full),
                         CallbackState::Lost => Ended::Not(Status::Reset),
                     };
+                    if call.state != CallbackState::Done {
+                        inbox.ended(call.state);
+                    }
                     let load = call.load.as_ref().map(|load| load.get().as_bytes());
                     return (ended, lock(&self.reports).of_answer(load));
                 }
-                answer = &mut exchange.answer, if !accepted => match answer {
-                    Ok(Reply { status: StatusCode::ACCEPTED, .. }) => {
+                answered = &mut answer, if !accepted => match answered {
+                    // The head says all that there is to know; a peer may never come to the end of the rest.
+                    Ok(reply) if reply.status == StatusCode::ACCEPTED => {
                         debug!(request = parcel.id, peer = peer.name, "attempt.accepted");
-                        accepted = true;
-                        waiting_for_connection = false;
+                        (accepted, unwritten) = (true, false);
+                        reply.drain();
                     }
                     Ok(reply) => {
                         let status = match reply.status {
@@ -352,17 +400,23 @@
                             status if blames_request(status) => Status::Invalid,
                             _ => Status::Error,
                         };
-                        return (Ended::Not(status), lock(&self.reports).of_answer(reply.load()));
+                        let load = lock(&self.reports).of_answer(reply.load());
+                        reply.drain();
+                        return (Ended::Not(status), load);
                     }
-                    Err(Broken::NeverRan) => return not(Status::ConnectFailed),
+                    Err(Broken::NeverRan) => return not(if wanted() { Status::ConnectFailed } else { Status::Moot }),
                     Err(Broken::MayHaveRun) => return not(Status::Reset),
                 },
                 // Dropping the exchange closes its connection, which gives the attempt up.
                 () = &mut silence, if !accepted => return not(Status::Silent),
                 () = &mut until => {
+                    let status = match (accepted || seen.begun(), seen.connected()) {
+                        (true, _) => Status::Timeout,
+                        (false, true) => Status::Moot,
+                        (false, false) => Status::ConnectFailed,
+                    };
                     peer.give_up(accepted, &parcel.id);
-                    let connected = accepted || exchange.connected();
-                    return not(if connected { Status::Timeout } else { Status::ConnectFailed });
+                    return not(status);
                 }
             }
         }
@@ -393,8 +447,8 @@
         let (id, target) = ("00000000000000ab".to_string(), PathAndQuery::from_static("/safe/k"));
         let parcel = Parcel { id, target, idempotency_key: None, body: Bytes::from_static(b"work") };
         let (_cancel, cancelled) = oneshot::channel();
-        let wait = Duration::from_secs(60);
-        let attempt = group.attempt(RequestId(0xab), worker, &parcel, wait, cancelled, |_| {});
+        let terms = Terms::within(Duration::from_secs(60));
+        let attempt = group.attempt(RequestId(0xab), worker, &parcel, terms, cancelled, |_| {});
         tokio::pin!(attempt);
         // The first poll starts the dial; no dial ends before the runtime has looked at its sockets.
         assert!(futures_util::poll!(attempt.as_mut()).is_pending());
--- a/crates/vetchbridge/src/request.rs
+++ b/crates/vetchbridge/src/request.rs
@@ -6,14 +6,16 @@
 
 use crate::engine::{Engine, Step};
 use crate::logs::Id;
-use crate::peers::{Ended, Parcel, UpstreamGroup};
+use crate::peers::{Ended, Parcel, Terms, UpstreamGroup};
 use crate::snapshot::Snapshot;
 use crate::upgrade::kin::Kin;
 use crate::upgrade::words::Word;
 use bytes::Bytes;
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use silverproxy::interface::*;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::{oneshot, OwnedSemaphorePermit};
 use tracing::debug;
@@ -76,7 +78,17 @@
         return answer;
     };
     kin.tell(|| Word::Opened(id.0));
-    let context = RequestContext { engine, kin, settings, id, class, steps, reply: Some(reply), _room: room };
+    let context = RequestContext {
+        engine,
+        kin,
+        settings,
+        id,
+        class,
+        steps,
+        reply: Some(reply),
+        over: Arc::default(),
+        _room: room,
+    };
     tokio::spawn(run(context, upstream, parcel, due));
     answer
 }
@@ -90,12 +102,15 @@
     class: ClassId,
     steps: UnboundedReceiver<Step>,
     reply: Option<oneshot::Sender<Answer>>,
+    /// Set once nobody waits for the answer any more.
+    over: Arc<AtomicBool>,
     _room: Option<OwnedSemaphorePermit>,
 }
 
 impl RequestContext {
     fn answer(&mut self, answer: Answer) {
         if let Some(reply) = self.reply.take() {
+            self.over.store(true, Ordering::Relaxed);
             let class = self.settings.names.classes.get(self.class.0 as usize).map_or("", String::as_str);
             debug!(request = %Id(self.id), class, status = answer.name(), "request.answered");
             // Failure means that the client left in this instant; nobody is owed anything then.
@@ -128,6 +143,9 @@
     let (engine, id) = (context.engine.clone(), context.id);
     let mut attempts = FuturesUnordered::new();
     let mut cancels: Vec<Option<oneshot::Sender<()>>> = Vec::new();
+    // When each attempt was sent, but those that surely never ran.
+    let mut may_have_run: Vec<Option<Micros>> = Vec::new();
+    let effect = context.settings.settings.classes.get(context.class.0 as usize).map(|class| class.effect);
 
     // Alive until it is answered and each attempt has had its outcome.
     while context.reply.is_some() || !attempts.is_empty() {
@@ -140,8 +158,16 @@
                     let until = timeout.map_or(due, |t| due.min(sent.saturating_add(t)));
                     let (cancel, cancelled) = oneshot::channel();
                     cancels.push(Some(cancel));
+                    // The module sent it within these bounds; they must still hold at its first byte.
+                    let begin_by = match (effect.unwrap_or_default(), may_have_run.iter().flatten().next()) {
+                        (Effect::Safe, _) | (_, None) => until,
+                        (Effect::Keyed { window, .. }, Some(first)) => until.min(first.saturating_add(window)),
+                        (Effect::Unsafe, Some(_)) => sent,
+                    };
+                    may_have_run.push(Some(sent));
                     let (engine, upstream, parcel) = (&engine, &upstream, &parcel);
-                    let moot = context.reply.is_none() || until <= sent;
+                    let moot = context.reply.is_none() || begin_by <= sent;
+                    let over = context.over.clone();
                     attempts.push(async move {
                         let note = |note| {
                             let after = engine.clock.now().saturating_sub(sent);
@@ -151,8 +177,11 @@
                         let ended = if moot {
                             (Ended::Not(Status::Moot), None)
                         } else {
-                            let wait = std::time::Duration::from_micros(until - sent);
-                            upstream.attempt(id, worker, parcel, wait, cancelled, note).await
+                            let (wait, begin_within) = (until - sent, begin_by - sent);
+                            let (wait, begin_within) =
+                                (Duration::from_micros(wait), Duration::from_micros(begin_within));
+                            let terms = Terms { wait, begin_within, over };
+                            upstream.attempt(id, worker, parcel, terms, cancelled, note).await
                         };
                         (attempt, worker, sent, ended)
                     });
@@ -175,6 +204,9 @@
                     }
                     Ended::Not(status) => status,
                 };
+                if status.never_ran() {
+                    may_have_run[attempt.0 as usize] = None;
+                }
                 let latency = engine.clock.now().saturating_sub(sent);
                 debug!(request = %Id(id), attempt = attempt.0, peer = upstream.name(worker), ?status, us = latency, "attempt.ended");
                 let closed = context.reply.is_none();
@@ -182,6 +214,7 @@
             }
             () = RequestContext::client_left(&mut context.reply) => {
                 context.reply = None;
+                context.over.store(true, Ordering::Relaxed);
                 engine.handle(Event::Withdrawn(id));
             }
         }
--- /dev/null
+++ b/crates/vetchbridge/tests/late_connections.rs
@@ -0,0 +1,246 @@
+//! Connections to peers that come up late, and what was decided long before: one story for each thing that may no longer hold
+//! at the first byte. The kernel drops the first call of a dial while a listener's queue is full, and repeats it after a
+//! second; nothing here waits for that time to pass but by waiting for the connection.
+#![allow(missing_docs)]
+
+mod common;
+
+use bytes::Bytes;
+use common::HANG;
+use hyper::http::uri::PathAndQuery;
+use platform::wire::Wire;
+use rstest::rstest;
+use serde_json::json;
+use silverproxy::interface::*;
+use silverproxy::policy::Policy;
+use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::mpsc::unbounded_channel;
+use tokio::sync::oneshot;
+use vetchbridge::config::read_text;
+use vetchbridge::engine::Engine;
+use vetchbridge::peers::{worker_id, Callback, Ended, Parcel, Terms, UpstreamGroup};
+use vetchbridge::request::{submit, Answer, Job};
+use vetchbridge::upgrade::kin::Kin;
+
+const MINUTE: Duration = Duration::from_secs(60);
+
+/// A listener whose queue has room for one connection.
+struct Narrow {
+    listener: TcpListener,
+    address: SocketAddr,
+}
+
+impl Narrow {
+    fn open() -> Narrow {
+        let socket = TcpSocket::new_v4().expect("a socket");
+        socket.bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a port");
+        let listener = socket.listen(0).expect("it listens");
+        let address = listener.local_addr().expect("bound");
+        Narrow { listener, address }
+    }
+
+    /// Takes the room: until this is accepted, no other connection comes up.
+    async fn fill(&self) -> TcpStream {
+        TcpStream::connect(self.address).await.expect("there is room for one")
+    }
+
+    async fn accept(&self) -> Wire {
+        Wire::new(self.listener.accept().await.expect("a connection").0)
+    }
+}
+
+fn tell(group: &UpstreamGroup, narrow: &Narrow, state: MemberState) {
+    let entry = (worker_id("s-0"), "s-0", &*narrow.address.to_string(), state);
+    group.apply(ListKind::Changes, [entry].into_iter());
+}
+
+fn parcel(id: &str) -> Parcel {
+    let target = PathAndQuery::from_static("/safe/k");
+    Parcel { id: id.to_string(), target, idempotency_key: None, body: Bytes::from_static(b"work") }
+}
+
+fn callback(id: &str, state: &str) -> Callback {
+    let words = json!({"id": id, "from": "s-0", "state": state, "result": "made"});
+    serde_json::from_value(words).expect("a callback")
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Change {
+    Nothing,
+    RequestOver,
+    TimeUp,
+    Drains,
+    ReturnedBefore,
+    DoneBefore,
+}
+
+/// A connection comes up long after its dial began. What the attempt was sent under must still hold at its first byte; if it
+/// does not, no byte is written, and the attempt never ran. A callback that comes meanwhile is about an earlier attempt.
+#[rstest]
+#[case::all_holds(Change::Nothing, Ended::Served("made".into()))]
+#[case::nobody_waits_any_more(Change::RequestOver, Ended::Not(Status::Moot))]
+#[case::the_time_is_up(Change::TimeUp, Ended::Not(Status::Moot))]
+#[case::the_peer_drains(Change::Drains, Ended::Not(Status::ConnectFailed))]
+#[case::an_earlier_attempt_is_handed_back(Change::ReturnedBefore, Ended::Served("made".into()))]
+#[case::an_earlier_attempt_is_done(Change::DoneBefore, Ended::Served("made".into()))]
+#[timeout(HANG)]
+#[tokio::test]
+async fn a_late_connection_carries_only_what_still_holds(#[case] change: Change, #[case] expected: Ended) {
+    const ID: &str = "00000000000000ab";
+    let (narrow, group) = (Narrow::open(), UpstreamGroup::new(MINUTE, MINUTE, 1));
+    tell(&group, &narrow, MemberState::Ready);
+    let _filler = narrow.fill().await;
+    let mut terms = Terms::within(MINUTE);
+    if change == Change::TimeUp {
+        // Over before the kernel calls again.
+        terms.begin_within = Duration::from_micros(1);
+    }
+    let (over, parcel, (_cancel, cancelled)) = (terms.over.clone(), parcel(ID), oneshot::channel());
+    let attempt = group.attempt(RequestId(0xab), worker_id("s-0"), &parcel, terms, cancelled, |_| {});
+    tokio::pin!(attempt);
+    assert!(futures_util::poll!(attempt.as_mut()).is_pending(), "it dials");
+    match change {
+        Change::Nothing | Change::TimeUp => {}
+        Change::RequestOver => over.store(true, Ordering::Relaxed),
+        Change::Drains => tell(&group, &narrow, MemberState::Draining),
+        Change::ReturnedBefore => assert!(group.called_back(&callback(ID, "returned"))),
+        Change::DoneBefore => assert!(group.called_back(&callback(ID, "done"))),
+    }
+    let peer = async {
+        narrow.accept().await.closed_by_the_story();
+        let mut peer = narrow.accept().await;
+        if let Some(job) = peer.read().await {
+            assert_eq!(job.header("x-trace-id"), Some(ID));
+            peer.answer(202, "", "").await.expect("it is read");
+            assert!(group.called_back(&callback(ID, "done")));
+            return true;
+        }
+        false
+    };
+    tokio::pin!(peer);
+    match change {
+        // The dial goes with the attempt: there is no connection to wait for.
+        Change::Drains | Change::DoneBefore => {
+            tokio::select! {
+                biased;
+                (ended, _) = attempt => assert_eq!(ended, expected),
+                written = &mut peer => panic!("a connection came, written to: {written}"),
+            }
+        }
+        _ => {
+            let ((ended, _), written) = tokio::join!(attempt, peer);
+            let holds = matches!(change, Change::Nothing | Change::ReturnedBefore);
+            assert_eq!((ended, written), (expected, holds));
+        }
+    }
+}
+
+/// Says what dropping a connection is for.
+trait Closed {
+    fn closed_by_the_story(self);
+}
+
+impl Closed for Wire {
+    fn closed_by_the_story(self) {}
+}
+
+/// Two requests wait for one peer, and the first is called off. Connections that come up afterwards carry the second alone.
+#[rstest]
+#[timeout(HANG)]
+#[tokio::test]
+async fn a_late_connection_is_not_written_to_for_a_request_that_is_gone() {
+    let (narrow, group) = (Narrow::open(), UpstreamGroup::new(MINUTE, MINUTE, 1));
+    tell(&group, &narrow, MemberState::Ready);
+    let _filler = narrow.fill().await;
+    let (first, second) = (parcel("00000000000000ab"), parcel("00000000000000cd"));
+    let ((cancel, cancelled), (_keep, kept)) = (oneshot::channel(), oneshot::channel());
+    let worker = worker_id("s-0");
+    let gone = group.attempt(RequestId(0xab), worker, &first, Terms::within(MINUTE), cancelled, |_| {});
+    let stays = group.attempt(RequestId(0xcd), worker, &second, Terms::within(MINUTE), kept, |_| {});
+    tokio::pin!(gone, stays);
+    assert!(
+        futures_util::poll!(gone.as_mut()).is_pending() && futures_util::poll!(stays.as_mut()).is_pending()
+    );
+    cancel.send(()).expect("it waits");
+    assert_eq!(gone.await.0, Ended::Not(Status::Moot), "it never ran");
+    let peer = async {
+        narrow.accept().await.closed_by_the_story();
+        let mut peer = narrow.accept().await;
+        let job = peer.read().await.expect("the job that is wanted");
+        assert_eq!(job.header("x-trace-id"), Some("00000000000000cd"));
+        peer.answer(202, "", "").await.expect("it is read");
+        assert!(group.called_back(&callback("00000000000000cd", "done")));
+    };
+    let ((ended, _), ()) = tokio::join!(stays, peer);
+    assert_eq!(ended, Ended::Served("made".into()));
+}
+
+/// A keyed job may have run at its first peer. The second one's connection comes up when peers drop its repeat no longer: it
+/// is not written, and the client has an answer at once.
+#[rstest]
+#[timeout(HANG)]
+#[tokio::test]
+async fn a_keyed_job_is_not_repeated_on_a_connection_that_comes_after_its_window() {
+    let class = json!({"name": "pay", "repeat": "keyed", "group": "all", "window": 500_000, "aim": 500_000,
+                       "deadline": 60_000_000, "late_share": 0.5});
+    let document = json!({"name": "n0", "listen": "127.0.0.1:0", "seed": "5eed", "discovery": "127.0.0.1:1",
+        "settings": {"me": 0, "balancers": 1, "areas": ["a"], "kinds": ["m"], "zone": 0, "tick": 4000,
+            "discovery": "ask", "services": [class], "limits": {"max_attempts": 4, "may_cancel": true},
+            "rules": {"stop_sending_within": 500_000, "start_capacity": 0.2, "cold": 24_000_000,
+                      "tip_multiple": 2.5, "fall": 2_000_000}}});
+    let config = read_text("late", &document.to_string()).expect("it reads").config;
+    let policy = Policy::new(config.snapshot.settings.clone(), config.seed).expect("sound settings");
+    let upstream = Arc::new(UpstreamGroup::new(MINUTE, MINUTE, 1));
+    let engine = Engine::new(policy, upstream.clone(), unbounded_channel().0, unbounded_channel().0);
+    tokio::spawn(engine.clone().run_timers());
+    let peers = [Narrow::open(), Narrow::open()];
+    let (names, ready) = (["s-0", "s-1"], MemberState::Ready);
+    let addresses = peers.each_ref().map(|peer| peer.address.to_string());
+    let entries = (0..2).map(|n| (worker_id(names[n]), names[n], &*addresses[n], ready));
+    upstream.apply(ListKind::Full, entries);
+    let member = |name| Member {
+        worker: worker_id(name),
+        zone: ZoneId(0),
+        kind: KindId(0),
+        cell: CellId(0),
+        state: ready,
+        units: 1.0,
+        born: 0,
+    };
+    engine.handle(Event::Members { kind: ListKind::Full, members: names.map(member).to_vec() });
+    let request = Request {
+        id: RequestId(0xab),
+        class: ClassId(0),
+        tenant: TenantId(0),
+        key: Some("k".to_string()),
+        due: engine.clock.now() + 60_000_000,
+        expected_work: None,
+        slots: 1.0,
+        retry: false,
+    };
+    let job =
+        Job { request, parcel: parcel("00000000000000ab"), settings: Arc::new(config.snapshot), room: None };
+    let answer = submit(engine.clone(), upstream.clone(), Arc::new(Kin::default()), job);
+    let (mut first, other) = tokio::select! {
+        peer = peers[0].accept() => (peer, &peers[1]),
+        peer = peers[1].accept() => (peer, &peers[0]),
+    };
+    first.read().await.expect("the job");
+    let _filler = other.fill().await;
+    first.answer(500, "", "").await.expect("it is read");
+    let late = async {
+        while upstream.connections().get() < 2 {
+            tokio::task::yield_now().await;
+        }
+        // Once this connection is accepted, the kernel's next call has room; that is a second after the first.
+        other.accept().await.closed_by_the_story();
+        other.accept().await.read().await
+    };
+    let (written, answer) = tokio::join!(late, answer);
+    assert_eq!(written, None, "the window was over");
+    assert!(matches!(answer.expect("an answer"), Answer::Reject { .. }));
+}
--- a/crates/vetchbridge/tests/probes.rs
+++ b/crates/vetchbridge/tests/probes.rs
@@ -12,7 +12,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::oneshot;
 use vetchbridge::peers::load::{FreeSlots, Reports};
-use vetchbridge::peers::{worker_id, Callback, Ended, Parcel, UpstreamGroup};
+use vetchbridge::peers::{worker_id, Callback, Ended, Parcel, Terms, UpstreamGroup};
 
 /// A story that stands still fails; none of them measures time.
 const HANG: Duration = Duration::from_secs(60);
@@ -60,7 +60,14 @@
         let target = PathAndQuery::from_static("/safe/k");
         let parcel = Parcel { id: ID.to_string(), target, idempotency_key: None, body: Bytes::new() };
         let (_cancel, cancelled) = oneshot::channel();
-        let attempt = self.group.attempt(RequestId(0xab), self.worker, &parcel, MINUTE, cancelled, |_| {});
+        let attempt = self.group.attempt(
+            RequestId(0xab),
+            self.worker,
+            &parcel,
+            Terms::within(MINUTE),
+            cancelled,
+            |_| {},
+        );
         let answering = async {
             let mut wire = self.accept().await;
             wire.read().await.expect("the job");
