Wait at the start for an address that is still taken, and for a list that is pushed

Change: an address that is taken is tried again for 5 s, with one warning; where lists are pushed, readiness waits for the first list, 1 s at most. Where they are asked for it waits for nothing, since those count from the answer.

--- a/crates/vetchbridge/src/list/discovery.rs
+++ b/crates/vetchbridge/src/list/discovery.rs
@@ -24,6 +24,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::watch;
 use tokio::time::{sleep_until, Instant};
 use tracing::{debug, info, warn};
 
@@ -100,6 +101,8 @@
     version: Option<u64>,
     /// The last call failed.
     failed: bool,
+    /// Whether any call has been answered with a list.
+    heard: watch::Sender<bool>,
     /// Watches opened so far.
     watches: u32,
 }
@@ -131,6 +134,7 @@
             roster,
             version: None,
             failed: false,
+            heard: watch::Sender::new(false),
             watches: 0,
         };
         // What the configuration itself lists is no saved list but the whole one, told with the first ask.
@@ -141,6 +145,11 @@
         discovery
     }
 
+    /// Follows whether a list has been heard, the saved one aside.
+    pub fn heard(&self) -> watch::Receiver<bool> {
+        self.heard.subscribe()
+    }
+
     /// Serves the module's asks for as long as the engine lives.
     pub async fn run(mut self, mut asks: UnboundedReceiver<Ask>) {
         let (mut watch, mut fetch): (Option<Call>, Option<Call>) = (None, None);
@@ -276,6 +285,7 @@
         debug!(?kind, version = listing.generation, entries = listing.instances.len(), "list.told");
         self.version = Some(listing.generation);
         self.pass_on(kind, self.version, &listing.instances);
+        self.heard.send_replace(true);
     }
 
     fn roster(&self) -> MutexGuard<'_, Roster> {
--- a/crates/vetchbridge/src/serve.rs
+++ b/crates/vetchbridge/src/serve.rs
@@ -16,6 +16,7 @@
 use crate::upgrade::wire::Door;
 use crate::upgrade::{self, Found, House, Inheritance};
 use serde_json::Value;
+use silverproxy::interface::Discovery::Push as Pushed;
 use silverproxy::interface::Event;
 use silverproxy::policy::Policy;
 use std::error::Error;
@@ -27,7 +28,7 @@
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::mpsc::{unbounded_channel, UnboundedSender};
-use tokio::time::{sleep, Instant};
+use tokio::time::{sleep, timeout, Instant};
 use tracing::{error, info, warn};
 
 /// Connections that the kernel keeps for us until they are accepted.
@@ -36,6 +37,13 @@
 const PROBES: usize = 8;
 /// After SIGTERM, the listener stays at least this long: new connections keep arriving.
 const LISTEN_ON: Duration = Duration::from_millis(900);
+/// How long a start waits for an address that is taken: the process before this one may still be on its way out.
+const ADDRESS_WAIT: Duration = Duration::from_secs(5);
+/// How often it is tried meanwhile.
+const ADDRESS_AGAIN: Duration = Duration::from_millis(50);
+/// How long readiness waits for a list that is pushed: what it tells counts from the first moment of a process. One that is
+/// asked for counts from its answer, so that nothing waits for it.
+const LIST_WAIT: Duration = Duration::from_secs(1);
 /// Nothing must be owed for this long before the program ends; the last answers leave the socket meanwhile.
 const QUIET: Duration = Duration::from_millis(100);
 
@@ -64,13 +72,13 @@
     let kin = Arc::new(Kin::default());
     let life = Arc::new(Life::begin(inheritance.as_ref().is_some_and(|it| it.offer.quiesced)));
     if let Some(address) = config.admin {
-        let door = listen(address, false)?;
+        let door = claim(address, || listen(address, false)).await?;
         info!(address = %door.local_addr()?, "admin.listens");
         tokio::spawn(admin::serve(door, life.clone(), kin.clone(), admin::callers(config.sockets)));
     }
     let keeper = life.clone();
     tokio::spawn(async move { keeper.keep_time().await });
-    let house = start(config, inheritance, hangup, flags, logs, (life, kin))?;
+    let house = start(config, inheritance, hangup, flags, logs, (life, kin)).await?;
 
     tokio::select! {
         _ = terminate.recv() => {}
@@ -97,16 +105,29 @@
     Ok(())
 }
 
+/// Takes hold of an address; waits for a while where another process has it.
+async fn claim<T>(address: SocketAddr, hold: impl Fn() -> io::Result<T>) -> Result<T, String> {
+    let (until, mut told) = (Instant::now() + ADDRESS_WAIT, false);
+    loop {
+        match hold() {
+            Err(error) if error.kind() == io::ErrorKind::AddrInUse && Instant::now() < until => {
+                if !std::mem::replace(&mut told, true) {
+                    warn!(%address, wait = ?ADDRESS_WAIT, "address.taken");
+                }
+                sleep(ADDRESS_AGAIN).await;
+            }
+            held => return held.map_err(|error| format!("{address}: {error}")),
+        }
+    }
+}
+
 /// Listens at an address; `shared`: beside another process of this scheduler, should one be there.
-fn listen(address: SocketAddr, shared: bool) -> Result<TcpListener, String> {
-    let listen = || {
-        let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
-        socket.set_reuseaddr(true)?;
-        socket.set_reuseport(shared)?;
-        socket.bind(address)?;
-        socket.listen(BACKLOG)
-    };
-    listen().map_err(|error: io::Error| format!("{address}: {error}"))
+fn listen(address: SocketAddr, shared: bool) -> io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    socket.set_reuseport(shared)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
 }
 
 /// What a new configuration may change in a process at work.
@@ -162,7 +183,7 @@
 }
 
 /// Puts everything to work, on what a predecessor handed over where there is one.
-fn start(
+async fn start(
     config: Config,
     inheritance: Option<Inheritance>,
     hangup: Signal,
@@ -187,8 +208,22 @@
         known = (listing, same && offer.generation.is_some());
         rest = Some((wire, offer.connections));
     }
-    let listener = from.map_or_else(|| listen(config.listen, shared), Ok)?;
+    let listener = match from {
+        Some(listener) => listener,
+        None => claim(config.listen, || listen(config.listen, shared)).await?,
+    };
     let spare = std::net::TcpListener::from(listener.as_fd().try_clone_to_owned()?);
+    let siblings = match config.siblings {
+        Some(siblings) => {
+            let address = siblings.listen;
+            let socket = match socket {
+                Some(socket) => Ok(socket),
+                None => claim(address, || UdpSocket::bind(address)).await,
+            };
+            Some((siblings, socket))
+        }
+        None => None,
+    };
     // Before anyone hears that this process serves: the next one must not find its predecessor.
     if let (Some(door), Some(path)) = (&mut door, &config.handover) {
         door.publish(path)?;
@@ -214,14 +249,14 @@
     };
     tokio::spawn(tuned.reload_on(hangup, flags, logs));
     tokio::spawn(engine.clone().run_timers());
-    let siblings = config.siblings.and_then(|config| {
-        let socket = socket.map_or_else(|| UdpSocket::bind(config.listen), Ok).and_then(|socket| {
-            let spare = socket.try_clone()?;
-            let siblings = siblings::run(config, socket, engine.clone(), kin.clone(), outgoing)?;
-            tokio::spawn(siblings);
+    let siblings = siblings.and_then(|(config, socket)| {
+        let socket = socket.and_then(|socket| {
+            let spare = socket.try_clone().map_err(|error| error.to_string())?;
+            let siblings = siblings::run(config, socket, engine.clone(), kin.clone(), outgoing);
+            tokio::spawn(siblings.map_err(|error| error.to_string())?);
             Ok(spare)
         });
-        socket.map_err(|error| error!(%error, "siblings.failed")).ok()
+        socket.map_err(|error| error!(error, "siblings.failed")).ok()
     });
     let discovery = Discovery::start(
         config.source,
@@ -231,6 +266,8 @@
         upstream.clone(),
         roster.clone(),
     );
+    let pushed = current.get().settings.discovery == Pushed && rest.is_none();
+    let mut heard = discovery.heard();
     tokio::spawn(discovery.run(asked));
     let front = Front::new(
         engine.clone(),
@@ -245,7 +282,16 @@
     let (name, listen) = (config.name, spare.local_addr()?);
     let house = House { name, listen, listener: spare, siblings, roster, life, engine, upstream, front, kin };
     let house = Arc::new(house);
-    house.life.started();
+    if pushed {
+        let life = house.life.clone();
+        tokio::spawn(async move {
+            // Whether it came or not: a scheduler without a list is still there to say so.
+            let _ = timeout(LIST_WAIT, heard.wait_for(|heard| *heard)).await;
+            life.started();
+        });
+    } else {
+        house.life.started();
+    }
     if let Some((wire, connections)) = rest {
         house.taken(wire, connections);
     }
