--- a/crates/vetchbridge/src/clients/connection.rs
+++ b/crates/vetchbridge/src/clients/connection.rs
@@ -1,8 +1,8 @@
 //! One client connection: what it is doing, and since when.
 //!
 //! Owns the time that a request may take to arrive and an answer to leave, what a client writes before its turn, the order
-//! in which connections can be spared, and how one is closed. It knows nothing of what requests say. It must never name one as spare that owes an answer or brings a
-//! callback, nor one that has just been made.
+//! in which connections can be spared, and how one is closed. It knows nothing of what requests say. It must never name
+//! one as spare that owes an answer or brings a callback, nor one that has just been made.
 
 use super::framing::{Framing, Watch, HEAD_LIMIT};
 use super::lock;
@@ -32,7 +32,6 @@
 const FRESH: Duration = Duration::from_millis(10);
 /// The last to make room, and only for another newcomer.
 pub(super) const NEWCOMER: u32 = 6;
-
 /// What follows a request in hand is read in pieces of this size.
 const PIECE: usize = 512;
 
@@ -105,10 +104,12 @@
             self.ended.notified().await;
             let (overdue, state) = (self.overdue(Instant::now()), lock(&self.state));
             match state.stage {
-                Stage::Silent | Stage::Idle | Stage::Lingering => return,
+                Stage::Silent | Stage::Idle => return,
+                // Chosen since then; a call of before that found it answering counts no more.
+                Stage::Lingering if state.chosen.is_some() => return,
                 Stage::Arriving if overdue || state.chosen == Some(Stage::Arriving) => return,
                 Stage::Answering if overdue => return,
-                Stage::Arriving | Stage::Owing | Stage::Answering => {}
+                Stage::Arriving | Stage::Owing | Stage::Answering | Stage::Lingering => {}
             }
         }
     }
@@ -329,9 +330,7 @@
         // Woken by the flush of the answer.
         Poll::Pending
     }
-}
 
-impl Watched {
     /// Ends the connection after its last word. What the client still writes is read and dropped until it closes its side
     /// too, for a bounded time, or until another needs the descriptor.
     pub async fn close(self) {
--- a/crates/vetchbridge/src/clients/connections.rs
+++ b/crates/vetchbridge/src/clients/connections.rs
@@ -229,7 +229,13 @@
         places[0].connection.keep();
         let _newcomer = connections.place(ALONE).expect("the idle one makes room");
         places[0].connection.ended().await;
+        places[0].connection.end();
         places[0].connection.linger();
+        {
+            let ended = places[0].connection.ended();
+            tokio::pin!(ended);
+            assert!(futures_util::poll!(ended).is_pending(), "what it was told before is past");
+        }
         assert!(connections.linger() && lock(&connections.table).staying() == 7);
         let relief = connections.relief(ALONE).expect("its going alone makes no room");
         tokio::time::advance(relief - Instant::now()).await;
--- a/crates/vetchbridge/tests/closing.rs
+++ b/crates/vetchbridge/tests/closing.rs
@@ -164,6 +164,38 @@
     ends_cleanly(&mut after, None).await;
 }
 
+/// A request that the daemon finds together with its last call, on a connection kept or new, is answered whole or its
+/// connection ends with nothing sent on.
+#[rstest]
+#[timeout(HANG)]
+#[tokio::test]
+async fn a_request_that_meets_the_last_call_is_answered_or_goes_nowhere(#[values(true, false)] kept: bool) {
+    let mut stage = Stage::set(1).await;
+    let mut client = dial(stage.daemon.address).await;
+    if kept {
+        client.send(READY).await;
+        assert_eq!(status(&client.read().await), "200");
+    }
+    stage.daemon.signal("-TERM");
+    stage.daemon.logs("state=\"ending\"").await;
+    stage.daemon.freeze().await;
+    // Its clock goes on, and passes the last call for certain.
+    tokio::time::sleep(Duration::from_millis(3400)).await;
+    client.send(&post("00000000000000a1", 4)).await;
+    delivered(&mut client).await;
+    stage.daemon.thaw();
+    let answer = client.read().await;
+    assert!(stage.daemon.child.wait().expect("it ends").success());
+    if let Some(answer) = answer {
+        assert_eq!((answer.status(), answer.header("connection")), ("503", Some("close")));
+    } else {
+        // Whoever was dialled for it came before this.
+        let mut marker = dial(stage.peers[0].local_addr().expect("bound")).await;
+        let (_, mut first) = stage.peer().await;
+        assert_eq!(ends(&mut first).1, ends(&mut marker).0, "nothing was sent on");
+    }
+}
+
 /// Who makes room is told so by an end of stream, and those who are slow to go keep no newcomer out.
 #[rstest]
 #[timeout(HANG)]
--- a/crates/vetchbridge/tests/common/mod.rs
+++ b/crates/vetchbridge/tests/common/mod.rs
@@ -205,8 +205,12 @@
     /// Stops it where it stands: what happens until [`Process::thaw`] it finds all at once, in the order of its coming.
     pub async fn freeze(&self) {
         self.signal("-STOP");
-        let stat = format!("/proc/{}/stat", self.child.id());
-        while !std::fs::read_to_string(&stat).expect("it lives").contains(") T ") {
+        let threads = || {
+            let tasks = std::fs::read_dir(format!("/proc/{}/task", self.child.id())).expect("it lives");
+            tasks.map(|task| task.expect("a thread").path().join("stat"))
+        };
+        // A thread that has not stopped yet may still take in half of what happens next.
+        while !threads().all(|stat| std::fs::read_to_string(stat).is_ok_and(|stat| stat.contains(") T "))) {
             tokio::task::yield_now().await;
         }
     }
