Count a list that broke off as a failure, whatever it told before

Cause: found on reading the change again. Entries of a broken answer went to the module as changes before the failure; on_members in policy.rs takes changes for an answer and begins the pauses anew, so that with every answer breaking off each of 300 schedulers called again after 55 ms (the new story on the lines before), and discovery could not have mended. A comment on keepers says what it means; a guard against no dispatchers, which the settings refuse, is gone. Measured: the story fails without the change and passes with it; the module's stories pass.

--- a/crates/silverproxy/src/interface.rs
+++ b/crates/silverproxy/src/interface.rs
@@ -317,7 +317,7 @@
     Full,
     /// The whole list as this dispatcher last had it, maybe old.
     Saved,
-    /// A subscription or fetch failed; the old list stands.
+    /// A subscription or fetch failed; the old list stands, but for entries that were heard before it broke off.
     Failed,
 }
 
--- a/crates/silverproxy/src/policy.rs
+++ b/crates/silverproxy/src/policy.rs
@@ -641,7 +641,7 @@
         actions.push(Action::SetTimer { at, token: TimerToken(TIMER_HOLD << 56 | open.sequence) });
     }
 
-    /// Whether dispatchers keep account of workers for one another: they may talk, and no worker does it.
+    /// Whether dispatchers keep account of workers for one another: they may talk, no worker tells its load.
     fn keepers(&self) -> bool {
         let Settings { limits, report_via, dispatchers, .. } = &self.settings;
         limits.may_message_peers && *dispatchers > 1 && *report_via == ReportVia::Never
@@ -669,7 +669,7 @@
     /// Work sent to a worker on this account that it can't have done yet, and how much more it may get while
     /// cold. A keeper's account is of all that is sent there; without keepers each has an equal share.
     fn poured(&self, now: Micros, at: usize) -> (f64, f64) {
-        let share = if self.keepers() { 1.0 } else { 1.0 / f64::from(self.settings.dispatchers.max(1)) };
+        let share = if self.keepers() { 1.0 } else { 1.0 / f64::from(self.settings.dispatchers) };
         let (worker, rules) = (&self.workers[at], &self.settings.rules);
         let able = share * self.room * worker.units * worker.warmth(now, rules) * rules.fall_multiple;
         let left = worker.poured.0 - able * COLD_MOST.1 * now.saturating_sub(worker.poured.1) as f64;
--- a/crates/silverproxy/tests/discovery.rs
+++ b/crates/silverproxy/tests/discovery.rs
@@ -205,3 +205,24 @@
         assert!(calls.windows(3).all(|three| three[2] - three[0] >= 10 * MS), "all at once: {calls:?}");
     }
 }
+
+/// A list that breaks off has told what it holds up to there, and is a failure all the same: where every answer breaks off, many
+/// dispatchers must not call again at once each time.
+#[test]
+fn entries_of_a_list_that_broke_off_are_heeded_and_do_not_count_as_an_answer() {
+    let mut apart = vec![];
+    for me in 0..300 {
+        let (mut d, _) = start(me, 300);
+        d.event(fleet(9));
+        for _ in 0..4 {
+            let drains = Member { state: MemberState::Draining, ..member(1) };
+            let done = d.event(list(ListKind::Failed, [drains]));
+            let (at, token) = *timers(&done).last().expect("a pause before the next call");
+            apart.push(at - d.now);
+            assert_eq!(asks(&d.at(at, Event::Timer(token))), 1);
+        }
+        let sent = (0..100).map(|id| sent(&d.request(id, SAFE, &format!("key-{id}"))));
+        assert!({ sent }.all(|worker| worker != WorkerId(1)), "a job went to a worker told to drain");
+        assert!(apart.drain(..).skip(1).all(|pause| pause >= S), "it calls again at once");
+    }
+}
--- a/crates/vetchbridge/src/list/discovery.rs
+++ b/crates/vetchbridge/src/list/discovery.rs
@@ -271,10 +271,8 @@
                 let newer = generation.is_some_and(|generation| !older(generation));
                 instances.retain(|instance| newer || instance.state() != MemberState::Ready);
                 warn!(reason, entries = instances.len(), "discovery.failed");
-                if !instances.is_empty() {
-                    self.pass_on(ListKind::Changes, None, &instances);
-                }
-                self.engine.handle(Event::Members { kind: ListKind::Failed, members: Vec::new() });
+                // With the failure and not before it: as changes they would count as an answer, and no pause would grow.
+                self.pass_on(ListKind::Failed, None, &instances);
                 return false;
             }
         }
--- a/crates/vetchbridge/tests/parts.rs
+++ b/crates/vetchbridge/tests/parts.rs
@@ -106,6 +106,13 @@
     tokio::time::sleep(Duration::from_millis(1)).await;
 }
 
+/// Answers with this list, and ends the connection within it, before `cut`.
+async fn break_off(mut wire: Wire, list: &str, cut: &str) {
+    let (begun, _) = list.split_once(cut).expect("it is in the list");
+    let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{begun}", list.len());
+    wire.write(&answer).await.expect("it is read");
+}
+
 /// Reads so many bytes more.
 async fn take(stream: &mut TcpStream, bytes: usize) -> Vec<u8> {
     let mut taken = vec![0; bytes];
@@ -269,10 +276,7 @@
     let text =
         json!({"generation": generation, "reset": false, "instances": [a, drains(b), {"instanceId": "s-c"}]});
     let text = serde_json::to_string_pretty(&text).expect("JSON");
-    let (begun, _) = text.split_once("s-c").expect("three entries");
-    let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{begun}", text.len());
-    wire.write(&head).await.expect("it is read");
-    drop(wire);
+    break_off(wire, &text, "s-c").await;
     let _next = parts.call().await;
     assert_eq!(parts.list(), [("s-a".into(), first), ("s-b".into(), Lifecycle::Draining)]);
 }
@@ -327,3 +331,25 @@
     let target = wire.read().await.expect("it goes on").target().to_string();
     assert!(target.contains("index=2&wait=") && !target.ends_with("wait=0"), "{target}");
 }
+
+/// What a list tells before it breaks off is no answer: where every one breaks off, hundreds of schedulers that called again at
+/// once each time would keep discovery from mending.
+#[rstest]
+#[timeout(HANG)]
+#[tokio::test(start_paused = true)]
+async fn lists_that_break_off_again_and_again_are_asked_for_after_longer_pauses() {
+    let mut parts = Parts::of(300).await;
+    parts.follow(json!([]));
+    let address: SocketAddr = "127.0.0.1:9".parse().expect("an address");
+    let entries = json!([instance("s-a", address), {"instanceId": "s-b"}]);
+    let told = json!({"generation": 2, "instances": entries, "reset": false}).to_string();
+    let (mut wire, _) = parts.call().await;
+    for pause in [0, 0, 1_000, 1_000] {
+        let broke = Instant::now();
+        break_off(wire, &told, "s-b").await;
+        (wire, _) = parts.call().await;
+        let waited = broke.elapsed();
+        assert!(waited >= Duration::from_millis(pause), "{waited:?} after one of them broke off");
+    }
+    assert_eq!(parts.list(), [("s-a".into(), Lifecycle::Up)]);
+}
