Let a keeper spend the shares of those schedulers alone that are not silent to it

Cause: the listed story: poured() in policy.rs gave a keeper the whole budget of a cold peer whoever it heard of, so that two keepers on either side of a cut, or a new one beside what the dead one had sent, spent it twice. Change: the budget is made of equal shares, and a keeper spends those of all that are not silent to it, so that the sides of a cut together spend one.

--- a/crates/silverproxy/src/policy.rs
+++ b/crates/silverproxy/src/policy.rs
@@ -667,9 +667,10 @@
     }
 
     /// Work sent to a worker on this account that it can't have done yet, and how much more it may get while
-    /// cold. A keeper's account is of all that is sent there; without keepers each has an equal share.
+    /// cold. Each dispatcher has an equal share; a keeper spends those of all that are not silent to it.
     fn poured(&self, now: Micros, at: usize) -> (f64, f64) {
-        let share = if self.keepers() { 1.0 } else { 1.0 / f64::from(self.settings.dispatchers) };
+        let all = f64::from(self.settings.dispatchers);
+        let share = if self.keepers() { 1.0 - self.silent.len() as f64 / all } else { 1.0 / all };
         let (worker, rules) = (&self.workers[at], &self.settings.rules);
         let able = share * self.room * worker.units * worker.warmth(now, rules) * rules.fall_multiple;
         let left = worker.poured.0 - able * COLD_MOST.1 * now.saturating_sub(worker.poured.1) as f64;
--- a/crates/silverproxy/tests/ramp.rs
+++ b/crates/silverproxy/tests/ramp.rs
@@ -232,8 +232,9 @@
     keeps_the_rule(Talk::Heard, (20, 20, 4), &[(12, 2.0, 0.4)], &[6]);
 }
 
-/// The account holds although keepers die, are cut off so that two think they are it, and words are lost.
+/// The sum holds although keepers die, are cut off so that two think they are it, and words are lost: each spends the shares of
+/// those that it hears of alone.
 #[test]
 fn keepers_that_die_or_are_cut_off_don_t_push_a_cold_peer_over() {
-    keeps_the_rule(Talk::Troubled, (20, 20, 4), &[(1, 2.0, 0.4)], &[6]);
+    keeps_the_rule(Talk::Troubled, (20, 20, 4), &[(1, 2.0, 0.4), (12, 2.0, 0.4)], &[1, 6]);
 }
