Send no job by a saved list before discovery has confirmed it

They sent by the saved list until their first call, spread over up to 4 s, was answered. At fault: serve.rs, start (readiness at once where lists are asked for, 1 s at most where they are pushed), and policy.rs, place (a saved list was as good as any).

The module holds what comes until discovery has answered once in this life, CONFIRM_WITHIN (5 s) at most; the process is ready when it may send. The first call waits for no news. A list inherited from a process that was ready, or written in the configuration, is used at once (ListKind::Inherited; Offer::confirmed). A failed call ends no wait, since it does not tell an outage from too many callers.

The clock of 6 s had a second fault: a call could be out for 2.5 s, the pause after it was 1 to 3 s and the next call could take 2.5 s, 8 s in all.

The wirehost test a_request_is_sent_refused_by_the_worker_and_ended sent by a saved list; it has the list confirmed first now, and a_request_waits_until_the_saved_list_is_confirmed asks for both. Stages of the socket tests confirm the list at the start. To make room policy.rs keeps a worker's list entry whole in place of five copied fields, and drops a field that was never read.

--- a/crates/silverproxy/src/interface.rs
+++ b/crates/silverproxy/src/interface.rs
@@ -279,9 +279,10 @@
 impl std::error::Error for SettingsError {}
 
 /// State of a listed worker.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum MemberState {
     /// Takes work.
+    #[default]
     Ready,
     /// Completing its work; send nothing new.
     Draining,
@@ -290,7 +291,7 @@
 }
 
 /// One entry of a worker list.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Member {
     /// The worker.
     pub worker: WorkerId,
@@ -315,12 +316,26 @@
     Changes,
     /// The whole list; a worker not in it is gone.
     Full,
-    /// The whole list as this dispatcher last had it, maybe old.
+    /// The whole list as this dispatcher last had it, maybe long ago.
     Saved,
+    /// The whole list as the process that this one takes over from had it a moment ago.
+    Inherited,
     /// A subscription or fetch failed; the old list stands, but for entries that were heard before it broke off.
     Failed,
 }
 
+impl ListKind {
+    /// Whether a worker that is not among the entries is gone.
+    pub fn is_whole(self) -> bool {
+        matches!(self, ListKind::Full | ListKind::Saved | ListKind::Inherited)
+    }
+
+    /// Whether discovery has answered a call with it, or pushed it.
+    pub fn is_answer(self) -> bool {
+        matches!(self, ListKind::Full | ListKind::Changes)
+    }
+}
+
 /// A request taken from a client.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Request {
--- a/crates/silverproxy/src/lib.rs
+++ b/crates/silverproxy/src/lib.rs
@@ -65,4 +65,4 @@
 pub mod words;
 
 pub use interface::*;
-pub use policy::Policy;
+pub use policy::{Policy, CONFIRM_WITHIN};
--- a/crates/silverproxy/src/policy.rs
+++ b/crates/silverproxy/src/policy.rs
@@ -74,9 +74,13 @@
 const EJECT_SHARE: f64 = 0.5;
 /// First pause before asking discovery again, microseconds; doubles up to the second figure.
 const ASK_AGAIN: (Micros, Micros) = (100_000, 1_000_000);
+/// Mean pause after a call that took long to fail, microseconds: it may have been lost while there was news.
+const ASK_PAUSE: Micros = 500_000;
 /// All share one discovery: first calls are spread over this for each dispatcher, up to the second figure;
 /// after failures each calls about as often as the third says: news is due 6 s after discovery is back.
 const ASK_SPREAD: (Micros, Micros, Micros) = (60_000, 4_000_000, 2_000_000);
+/// A saved list may name workers that left: nothing is sent until discovery answers, or for so long at most.
+pub const CONFIRM_WITHIN: Micros = 5_000_000;
 const TIMER_REQUEST: u64 = 0;
 const TIMER_HOLD: u64 = 1;
 const TIMER_ASK: u64 = 2;
@@ -155,14 +159,11 @@
 /// What this dispatcher knows of a worker.
 #[derive(Default)]
 struct Worker {
-    id: WorkerId,
-    zone: ZoneId,
-    kind: KindId,
-    cell: CellId,
+    /// Its entry in the list.
+    member: Member,
     ready: bool,
     units: f64,
     points: u32,
-    born: Micros,
     /// Slots in hand there by its keeper's latest report, if the keeper knew, and when it was asked.
     report: (Option<f64>, Option<Micros>),
     full_until: Micros,
@@ -209,8 +210,7 @@
 
     /// Whether an own job has waited here for longer than word of its start takes: the slots are full.
     fn keeps_waiting(&self, now: Micros) -> bool {
-        let overdue = |o: &&(RequestId, u32, Micros, f64)| o.2 + START_LAG < now;
-        self.out.iter().filter(overdue).any(|o| self.running((o.0, o.1)).is_none())
+        self.out.iter().any(|o| o.2 + START_LAG < now && self.running((o.0, o.1)).is_none())
     }
 
     fn running(&self, attempt: (RequestId, u32)) -> Option<&Started> {
@@ -227,10 +227,10 @@
 
     /// Share of its capacity that a worker has at this age, by the slowest warming the rules allow.
     fn warmth(&self, now: Micros, rules: &Rules) -> f64 {
-        if self.born == 0 || rules.cold_time == 0 {
+        if self.member.born == 0 || rules.cold_time == 0 {
             return 1.0;
         }
-        let age = now.saturating_sub(self.born) as f64 / rules.cold_time as f64;
+        let age = now.saturating_sub(self.member.born) as f64 / rules.cold_time as f64;
         (rules.cold_share + (1.0 - rules.cold_share) * age).min(1.0)
     }
 }
@@ -265,8 +265,9 @@
     room: f64,
     /// Keepers that did not answer, and until when they are passed over.
     silent: BTreeMap<u32, Micros>,
-    asked: u32,
-    ask_pending: bool,
+    failed_calls: u32,
+    last_call: Micros,
+    unconfirmed_until: Micros,
 }
 
 impl Policy {
@@ -289,8 +290,9 @@
             budget: REPEAT_BUDGET.1,
             room: 1.0,
             silent: BTreeMap::new(),
-            asked: 0,
-            ask_pending: false,
+            failed_calls: 0,
+            last_call: 0,
+            unconfirmed_until: 0,
         })
     }
 
@@ -329,25 +331,25 @@
     // ---- the worker list and the ring ----
 
     fn on_members(&mut self, now: Micros, kind: ListKind, members: Vec<Member>, actions: &mut Vec<Action>) {
-        self.ask_pending = matches!(kind, ListKind::Changes | ListKind::Full);
-        if self.ask_pending {
-            self.asked = 0;
+        if kind != ListKind::Failed {
+            (self.failed_calls, self.last_call) = (0, 0);
+            self.unconfirmed_until = if kind == ListKind::Saved { now + CONFIRM_WITHIN } else { 0 };
         }
-        if kind == ListKind::Full || kind == ListKind::Saved {
+        if kind.is_whole() {
             let listed: std::collections::BTreeSet<WorkerId> = members.iter().map(|m| m.worker).collect();
-            self.workers.iter_mut().for_each(|worker| worker.ready &= listed.contains(&worker.id));
+            self.workers.iter_mut().for_each(|worker| worker.ready &= listed.contains(&worker.member.worker));
         }
         let mut added = Vec::new();
+        let sized = self.settings.weights == Weights::Size;
         for member in members {
-            let sized =
-                self.settings.weights == Weights::Size && member.units.is_finite() && member.units > 0.0;
-            let units = if sized { member.units } else { 1.0 };
+            let sound = sized && member.units.is_finite() && member.units > 0.0;
+            let units = if sound { member.units } else { 1.0 };
             let ready = member.state == MemberState::Ready;
             let Some(&at) = self.index.get(&member.worker) else {
                 if ready {
                     self.index.insert(member.worker, self.workers.len());
                     added.push(self.workers.len());
-                    self.workers.push(new_worker(&member, units));
+                    self.workers.push(new_worker(member, units));
                 }
                 continue;
             };
@@ -356,10 +358,10 @@
             if member.state == MemberState::Gone {
                 continue;
             }
-            if member.born > worker.born {
+            if member.born > worker.member.born {
                 // A restarted process: nothing learned of the old one holds.
                 let (out, points) = (std::mem::take(&mut worker.out), worker.points);
-                *worker = Worker { out, points, ..new_worker(&member, units) };
+                *worker = Worker { out, points, ..new_worker(member, units) };
             }
             if (units / worker.units - 1.0).abs() > 0.01 {
                 worker.units = units;
@@ -369,7 +371,7 @@
         self.place_points(added);
         self.ready_count = self.workers.iter().filter(|w| w.ready).count();
         self.forget();
-        if self.settings.discovery == Discovery::Ask && !self.ask_pending {
+        if self.settings.discovery == Discovery::Ask && !kind.is_answer() {
             self.ask_later(now, kind == ListKind::Saved, actions);
         }
         let held: Vec<RequestId> = self.open.iter().filter(|(_, o)| o.holding).map(|(id, _)| *id).collect();
@@ -384,7 +386,7 @@
             return;
         }
         self.workers.retain(|w| w.ready || !w.out.is_empty());
-        self.index = self.workers.iter().enumerate().map(|(at, w)| (w.id, at)).collect();
+        self.index = self.workers.iter().enumerate().map(|(at, w)| (w.member.worker, at)).collect();
         self.ring.clear();
         self.place_points((0..self.workers.len()).collect());
     }
@@ -406,7 +408,7 @@
             let worker = &mut self.workers[at];
             let size = (worker.units / self.unit_scale).min(MAX_POINTS_FACTOR);
             worker.points = (POINTS_PER_MEAN_UNIT * size).round().max(1.0) as u32;
-            let seed = mix(worker.id.0);
+            let seed = mix(worker.member.worker.0);
             self.ring.extend((0..worker.points).map(|number| Point {
                 place: mix(seed ^ (u64::from(number) << 32 | 0x5350)),
                 worker: at as u32,
@@ -416,19 +418,21 @@
         self.ring.sort_by_key(|p| (p.place, p.worker));
     }
 
-    /// Asks discovery (again) after a pause that grows with failures and with the number of dispatchers.
+    /// Asks discovery (again) after a time that grows with failures and with the number of dispatchers.
     fn ask_later(&mut self, now: Micros, first: bool, actions: &mut Vec<Action>) {
-        self.ask_pending = true;
         let spread = (ASK_SPREAD.0 * u64::from(self.settings.dispatchers - 1)).min(ASK_SPREAD.1);
         // A watch that breaks after it had an answer broke alone, until the call for the next one fails too.
-        let again = self.asked.saturating_sub(1).min(8);
-        let herd = if self.asked == 0 { 0 } else { (spread << again.min(2)).min(ASK_SPREAD.2) };
+        let again = self.failed_calls.saturating_sub(1).min(8);
+        let herd = if self.failed_calls == 0 { 0 } else { (spread << again.min(2)).min(ASK_SPREAD.2) };
         let wait = (ASK_AGAIN.0 << again).min(ASK_AGAIN.1).max(herd);
         let random = self.random();
-        let pause = if first { spread as f64 * random } else { wait as f64 * (0.5 + random) } as Micros;
-        let timer = Action::SetTimer { at: now + pause, token: TimerToken(TIMER_ASK << 56) };
-        actions.push(if pause == 0 { Action::Subscribe(true) } else { timer });
-        self.asked += 1;
+        let share = |time: Micros| (time as f64 * (0.5 + random)) as Micros;
+        // From call to call, not from failure to call: one that was lost has taken its time already.
+        let next = (self.last_call + share(wait)).max(now + share(wait.min(ASK_PAUSE)));
+        let at = if first { now + (spread as f64 * random) as Micros } else { next };
+        let timer = Action::SetTimer { at, token: TimerToken(TIMER_ASK << 56) };
+        actions.push(if at == now { Action::Subscribe(true) } else { timer });
+        (self.failed_calls, self.last_call) = (self.failed_calls + 1, at);
     }
 
     /// Up to [`REACH`] workers that may take this request, in ring order.
@@ -446,7 +450,7 @@
             let point = self.ring[(start + step) % self.ring.len()];
             let at = point.worker as usize;
             let worker = &self.workers[at];
-            let wrong_kind = class.kind.is_some_and(|kind| kind != worker.kind);
+            let wrong_kind = class.kind.is_some_and(|kind| kind != worker.member.kind);
             if seen[at] || !worker.ready || wrong_kind {
                 continue;
             }
@@ -461,15 +465,17 @@
                 let first = self.index.get(&first.worker).map(|at| &self.workers[*at]);
                 let same = match group {
                     RepeatGroup::All => true,
-                    RepeatGroup::Zone => first.is_some_and(|first| first.zone == worker.zone),
-                    RepeatGroup::Cell => first.is_some_and(|first| first.cell == worker.cell),
+                    RepeatGroup::Zone => first.is_some_and(|first| first.member.zone == worker.member.zone),
+                    RepeatGroup::Cell => first.is_some_and(|first| first.member.cell == worker.member.cell),
                 };
                 if !same {
                     continue;
                 }
             }
-            let failed_here =
-                open.attempts.iter().any(|a| a.worker == worker.id && a.may_have_run != Some(false));
+            let failed_here = open
+                .attempts
+                .iter()
+                .any(|a| a.worker == worker.member.worker && a.may_have_run != Some(false));
             if failed_here || (health && now < worker.ejected_until) {
                 continue;
             }
@@ -487,7 +493,7 @@
         // where there is one, fixed by its number, and goes on clockwise from there.
         let width = open.width.min(found.len());
         if width > 1 {
-            let local = |at: &usize| self.workers[*at].zone == self.settings.zone;
+            let local = |at: &usize| self.workers[*at].member.zone == self.settings.zone;
             let pick = mix(open.key ^ u64::from(self.settings.me)) as usize;
             let locals: Vec<usize> = (0..width).filter(|place| local(&found[*place])).collect();
             let start = if locals.is_empty() { pick % width } else { locals[pick % locals.len()] };
@@ -555,6 +561,9 @@
         if late && open.all_or_nothing() {
             return self.give_up(now, id, actions);
         }
+        if now < self.unconfirmed_until {
+            return self.hold(now, id, actions);
+        }
         let waited = open.asking_until.is_some_and(|until| now >= until);
         let candidates = self.candidates(now, id);
         let mut asked = false;
@@ -656,7 +665,7 @@
     }
 
     fn tell(&mut self, now: Micros, at: usize, word: Word, actions: &mut Vec<Action>) {
-        let worker = self.workers[at].id;
+        let worker = self.workers[at].member.worker;
         match (self.keeper(now, worker), word) {
             (Some(keeper), _) if keeper != self.settings.me => {
                 actions.push(Action::TellPeers { to: Peer::One(keeper), data: word.write(worker) });
@@ -706,7 +715,7 @@
     fn ask(&mut self, now: Micros, at: usize, id: RequestId, actions: &mut Vec<Action>) -> bool {
         let worker = &self.workers[at];
         let fresh = worker.report.1.is_some_and(|t| now.saturating_sub(t) < REPORT_FRESH);
-        let Some(keeper) = self.keeper(now, worker.id).filter(|_| !fresh) else { return false };
+        let Some(keeper) = self.keeper(now, worker.member.worker).filter(|_| !fresh) else { return false };
         let work = self.open.get(&id).map_or(0, Open::likely_work);
         if keeper == self.settings.me {
             self.workers[at].report = (Some(self.account(now, at, (keeper, work))), Some(now + 1));
@@ -776,10 +785,10 @@
         let worker = &mut self.workers[at];
         worker.out.push((id, open.attempts.len() as u32, now, open.slots));
         let crowd = worker.held(now).map(|held| held / worker.units.max(1e-6));
-        open.attempts.push(Attempt { worker: worker.id, crowd, may_have_run: None, sent: now });
+        open.attempts.push(Attempt { worker: worker.member.worker, crowd, may_have_run: None, sent: now });
         (open.holding, open.asking_until) = (false, None);
         let timeout = open.all_or_nothing().then(|| open.late_from(-OVERRUN).saturating_sub(now).max(1));
-        actions.push(Action::Send { request: id, worker: worker.id, timeout });
+        actions.push(Action::Send { request: id, worker: worker.member.worker, timeout });
         let (limits, slots) = (&self.settings.limits, open.slots);
         if self.settings.tells_start && limits.may_cancel && limits.second_copies {
             let token = TimerToken(TIMER_WATCH << 56 | open.sequence);
@@ -817,7 +826,7 @@
         if !limits.retry_after {
             return 0;
         }
-        let able = self.workers.iter().filter(|w| w.ready && kind.is_none_or(|kind| kind == w.kind));
+        let able = self.workers.iter().filter(|w| w.ready && kind.is_none_or(|kind| kind == w.member.kind));
         let room = able.map(|w| w.full_until.max(w.ejected_until).saturating_sub(now)).min();
         room.map_or(limits.max_retry_after, |wait| wait.max(HOLD_BLIND)).min(limits.max_retry_after)
     }
@@ -994,16 +1003,7 @@
     }
 }
 
-fn new_worker(member: &Member, units: f64) -> Worker {
-    Worker {
-        id: member.worker,
-        zone: member.zone,
-        kind: member.kind,
-        cell: member.cell,
-        ready: member.state == MemberState::Ready,
-        units,
-        born: member.born,
-        bound: f64::INFINITY,
-        ..Worker::default()
-    }
+fn new_worker(member: Member, units: f64) -> Worker {
+    let ready = member.state == MemberState::Ready;
+    Worker { member, ready, units, bound: f64::INFINITY, ..Worker::default() }
 }
--- a/crates/silverproxy/tests/discovery.rs
+++ b/crates/silverproxy/tests/discovery.rs
@@ -18,8 +18,14 @@
     actions.iter().filter(|a| **a == Action::Subscribe(true)).count()
 }
 
-/// Plays one dispatcher against a discovery that answers no call for `deaf`; returns when it asked.
+/// Plays one dispatcher against a discovery that answers no call for `deaf`; returns when it asked. Each call fails after the
+/// two seconds that discovery lets one wait.
 fn calls(me: u32, dispatchers: u32, deaf: Micros) -> Vec<Micros> {
+    calls_failing(me, dispatchers, deaf, 2 * S)
+}
+
+/// The same with calls that fail after so long.
+fn calls_failing(me: u32, dispatchers: u32, deaf: Micros, fails: Micros) -> Vec<Micros> {
     let (mut d, mut done) = start(me, dispatchers);
     let (mut at, mut due) = (vec![], vec![]);
     let end = d.now + deaf;
@@ -27,8 +33,7 @@
         due.extend(timers(&done));
         if asks(&done) > 0 {
             at.push(d.now - 100 * S);
-            // It fails after the two seconds that discovery lets a call wait.
-            d.now += 2 * S;
+            d.now += fails;
             done = d.event(list(ListKind::Failed, []));
             continue;
         }
@@ -115,6 +120,69 @@
     }
 }
 
+/// News counts as told 6 s after discovery could be reached, which may be the moment after a call was lost: the next one, which
+/// may have to wait for its turn for two seconds, goes out early enough whatever became of the last.
+#[test]
+fn calls_follow_one_another_soon_enough_whatever_became_of_them() {
+    for dispatchers in [1, 3, 300] {
+        for fails in [0, 5 * MS, S, 2 * S, 2_450 * MS] {
+            for me in 0..dispatchers {
+                let at = calls_failing(me, dispatchers, 60 * S, fails);
+                assert!(at.windows(2).all(|pair| pair[1] - pair[0] <= 3_200 * MS), "{dispatchers}: {at:?}");
+            }
+        }
+    }
+}
+
+/// All that start in one moment have the list confirmed before they send by the saved one, where discovery can serve them all
+/// in that time; and none of them has sent a job before.
+#[test]
+fn a_whole_fleet_that_starts_at_once_has_its_list_confirmed_before_it_sends() {
+    for dispatchers in [1, 3, 20, 100, 300] {
+        let late = heard(dispatchers, 0, 4 * S).into_iter().filter(|at| *at > CONFIRM_WITHIN).count();
+        assert_eq!(late, 0, "of {dispatchers}");
+    }
+}
+
+/// A saved list may name workers that have left: a job waits until discovery has answered, also with changes alone, and is sent
+/// by what it said. An answer that fails is none. Where none comes, the job is sent by the saved list after a while.
+#[test]
+fn no_job_is_sent_by_a_saved_list_until_it_is_confirmed() {
+    let (mut d, _) = start(0, 3);
+    assert_eq!(sends(&d.request(1, SAFE, "k")), []);
+    d.now += S;
+    assert_eq!(sends(&d.event(list(ListKind::Failed, []))), []);
+    let gone = (1..=8).map(|n| Member { state: MemberState::Gone, ..member(n) });
+    assert_eq!(sends(&d.event(list(ListKind::Changes, gone))), [WorkerId(9)]);
+
+    let (mut d, _) = start(0, 3);
+    let saved_at = d.now;
+    let held = d.event(Event::Request(request(1, SAFE, "k", saved_at + 30 * S)));
+    let mut due = timers(&held);
+    let worker = loop {
+        due.sort();
+        let (at, token) = due.remove(0);
+        d.now = d.now.max(at);
+        let done = d.event(Event::Timer(token));
+        due.extend(timers(&done));
+        if let Some(worker) = sends(&done).first() {
+            break *worker;
+        }
+    };
+    assert!((1..=9).contains(&worker.0));
+    assert!((CONFIRM_WITHIN..2 * CONFIRM_WITHIN).contains(&(d.now - saved_at)), "after {}", d.now - saved_at);
+}
+
+/// The process before this one held its list a moment ago: jobs are sent by it at once, and the watch goes on at once.
+#[test]
+fn an_inherited_list_is_sent_by_at_once_and_asked_for_soon() {
+    let settings = Settings { me: 1, dispatchers: 300, discovery: Discovery::Ask, ..settings() };
+    let mut d = Driver { policy: Policy::new(settings, 7).expect("sound settings"), now: 100 * S };
+    let done = d.event(list(ListKind::Inherited, (1..=9).map(member)));
+    assert!(timers(&done).iter().any(|(at, _)| *at <= d.now + 150 * MS), "{done:?}");
+    assert_eq!(sends(&d.request(1, SAFE, "k")).len(), 1);
+}
+
 /// What a silent watch missed counts as told at 6 s, and its silence shows at 5.2 s: the next call must not wait its turn as
 /// in a herd. Where that call fails too, it was no single watch, and the calls are spread as at the start.
 #[test]
--- a/crates/vetchbridge/src/list/discovery.rs
+++ b/crates/vetchbridge/src/list/discovery.rs
@@ -30,12 +30,13 @@
 
 /// How long a watch may wait at discovery, and how much less at most: silence shows only at the end of the wait, and the
 /// watches of all schedulers, which one change answers together, are not to end together as well.
-const WATCH_WAIT: (Duration, Duration) = (Duration::from_millis(2400), Duration::from_millis(1000));
-/// How long its answer may take beyond that. What a silent watch missed counts as told 6 s after it fell silent.
+const WATCH_WAIT: (Duration, Duration) = (Duration::from_millis(2000), Duration::from_millis(800));
+/// How long its answer may take beyond that. What a silent watch missed counts as told 6 s after it fell silent: by then it
+/// is known to be silent, the next call is out, and that may take as long as an answer may (docs/design/list-refresh.md).
 const WATCH_MARGIN: Duration = Duration::from_secs(1);
 /// How long an answer to a call that does not wait may take: longer than discovery itself lets a call wait for its turn,
 /// since a call that is given up sooner may cost it its work all the same.
-const ANSWER_WAIT: Duration = Duration::from_millis(2500);
+const ANSWER_WAIT: Duration = Duration::from_millis(2200);
 /// How long a connection to discovery may take to come up.
 const DIAL_WAIT: Duration = Duration::from_secs(2);
 /// How long the rest of an answer may take once its head is here: what is written counts as told.
@@ -89,6 +90,16 @@
     }
 }
 
+/// The list that a process begins with.
+pub struct InitialList {
+    /// The list.
+    pub listing: Listing,
+    /// Its version is one at the discovery service that is followed; otherwise the whole list is taken first.
+    pub versioned: bool,
+    /// The process before this one hands it over, so that it is as new as that one's. A saved one may be of any age.
+    pub inherited: bool,
+}
+
 /// Discovery as this scheduler sees it.
 pub struct Discovery {
     source: Source,
@@ -101,19 +112,18 @@
     version: Option<u64>,
     /// The last call failed.
     failed: bool,
-    /// Whether any call has been answered with a list.
-    heard: watch::Sender<bool>,
+    /// Whether the list is known to be no older than this process: any call was answered, or it was inherited.
+    confirmed: watch::Sender<bool>,
     /// Watches opened so far.
     watches: u32,
 }
 
 impl Discovery {
-    /// Tells the upstream group and the module the saved list; nothing is asked yet. The list's version is one at
-    /// `source` if `same`; otherwise the whole list comes first.
+    /// Tells the upstream group and the module the list that there is; nothing is asked yet.
     pub fn start(
         source: Source,
         current: Arc<Current>,
-        (known, same): (Listing, bool),
+        initial: InitialList,
         engine: Arc<Engine>,
         upstream: Arc<UpstreamGroup>,
         roster: Arc<Mutex<Roster>>,
@@ -134,20 +144,28 @@
             roster,
             version: None,
             failed: false,
-            heard: watch::Sender::new(false),
+            confirmed: watch::Sender::new(false),
             watches: 0,
         };
-        // What the configuration itself lists is no saved list but the whole one, told with the first ask.
-        let same = same && matches!(discovery.source, Source::Service(_));
         discovery.roster().move_to(&discovery.source);
-        discovery.version = same.then_some(known.generation);
-        discovery.pass_on(ListKind::Saved, discovery.version, &known.instances);
+        discovery.begin_with(initial);
         discovery
     }
 
-    /// Follows whether a list has been heard, the saved one aside.
-    pub fn heard(&self) -> watch::Receiver<bool> {
-        self.heard.subscribe()
+    fn begin_with(&mut self, initial: InitialList) {
+        if let Source::Fixed(listing) = &self.source {
+            // What the configuration itself lists is the whole list; nobody else is to be asked for it.
+            return self.tell(ListKind::Full, listing.clone());
+        }
+        self.version = initial.versioned.then_some(initial.listing.generation);
+        let kind = if initial.inherited { ListKind::Inherited } else { ListKind::Saved };
+        self.pass_on(kind, self.version, &initial.listing.instances);
+        self.confirmed.send_replace(initial.inherited);
+    }
+
+    /// Follows whether the list is known to be no older than this process.
+    pub fn confirmed(&self) -> watch::Receiver<bool> {
+        self.confirmed.subscribe()
     }
 
     /// Serves the module's asks for as long as the engine lives.
@@ -210,11 +228,11 @@
             // It was told and can't change.
             return Call { version: self.version, answer: Box::pin(pending()) };
         }
-        // After a call that failed it is not known whether any will be answered: one that need not wait tells soonest.
-        let wait =
-            if self.failed { Duration::ZERO } else { WATCH_WAIT.0 - WATCH_WAIT.1.mul_f64(self.phase()) };
+        // Before the first answer, and after a call that failed, one that need not wait for news tells soonest.
+        let at_once = self.failed || !*self.confirmed.borrow();
+        let wait = if at_once { Duration::ZERO } else { WATCH_WAIT.0 - WATCH_WAIT.1.mul_f64(self.phase()) };
         let path = format!("/registry/instances?index={version}&wait={}", wait.as_millis());
-        self.call(path, if self.failed { ANSWER_WAIT } else { wait + WATCH_MARGIN })
+        self.call(path, if at_once { ANSWER_WAIT } else { wait + WATCH_MARGIN })
     }
 
     fn whole(&self) -> Call {
@@ -283,7 +301,7 @@
         debug!(?kind, version = listing.generation, entries = listing.instances.len(), "list.told");
         self.version = Some(listing.generation);
         self.pass_on(kind, self.version, &listing.instances);
-        self.heard.send_replace(true);
+        self.confirmed.send_replace(true);
     }
 
     fn roster(&self) -> MutexGuard<'_, Roster> {
--- a/crates/vetchbridge/src/list/listing.rs
+++ b/crates/vetchbridge/src/list/listing.rs
@@ -125,7 +125,7 @@
 
     /// Takes news in. News without a version, such as a broken list's, leaves the version as it was.
     pub fn tell(&mut self, kind: ListKind, generation: Option<u64>, instances: &[Instance]) {
-        if matches!(kind, ListKind::Full | ListKind::Saved) {
+        if kind.is_whole() {
             self.instances.clear();
         }
         for instance in instances {
--- a/crates/vetchbridge/src/peers/mod.rs
+++ b/crates/vetchbridge/src/peers/mod.rs
@@ -170,10 +170,8 @@
         entries: impl Iterator<Item = (WorkerId, &'a str, &'a str, MemberState)>,
     ) {
         let peers = &mut *lock(&self.peers);
-        let mut missing: Vec<WorkerId> = match kind {
-            ListKind::Full | ListKind::Saved => peers.keys().copied().collect(),
-            ListKind::Changes | ListKind::Failed => Vec::new(),
-        };
+        let mut missing: Vec<WorkerId> =
+            if kind.is_whole() { peers.keys().copied().collect() } else { Vec::new() };
         for (worker, name, address, state) in entries {
             missing.retain(|known| *known != worker);
             if state == MemberState::Gone {
--- a/crates/vetchbridge/src/serve.rs
+++ b/crates/vetchbridge/src/serve.rs
@@ -4,7 +4,7 @@
 use crate::config::{self, Config, Flags};
 use crate::engine::Engine;
 use crate::list::ask::Ask;
-use crate::list::discovery::Discovery;
+use crate::list::discovery::{Discovery, InitialList};
 use crate::list::listing::{Roster, Source};
 use crate::logs::Logs;
 use crate::operators::admin;
@@ -16,9 +16,8 @@
 use crate::upgrade::wire::Door;
 use crate::upgrade::{self, Found, House, Inheritance};
 use serde_json::Value;
-use silverproxy::interface::Discovery::Push as Pushed;
 use silverproxy::interface::Event;
-use silverproxy::policy::Policy;
+use silverproxy::policy::{Policy, CONFIRM_WITHIN};
 use std::error::Error;
 use std::io;
 use std::net::{SocketAddr, UdpSocket};
@@ -41,9 +40,6 @@
 const ADDRESS_WAIT: Duration = Duration::from_secs(5);
 /// How often it is tried meanwhile.
 const ADDRESS_AGAIN: Duration = Duration::from_millis(50);
-/// How long readiness waits for a list that is pushed: what it tells counts from the first moment of a process. One that is
-/// asked for counts from its answer, so that nothing waits for it.
-const LIST_WAIT: Duration = Duration::from_secs(1);
 /// Nothing must be owed for this long before the program ends; the last answers leave the socket meanwhile.
 const QUIET: Duration = Duration::from_millis(100);
 
@@ -200,12 +196,17 @@
         }
     });
     let shared = config.handover.is_some() && door.is_none();
-    let (mut from, mut socket, mut known, mut rest) = (None, None, (config.known, true), None);
+    let (mut from, mut socket, mut rest) = (None, None, None);
+    let mut initial = InitialList { listing: config.known, versioned: true, inherited: false };
     if let Some(Inheritance { listener, siblings, offer, listing, wire }) = inheritance {
         listener.set_nonblocking(true)?;
         (from, socket) = (Some(TcpListener::from_std(listener)?), siblings);
         let same = matches!(config.source, Source::Service(address) if Some(address) == offer.source);
-        known = (listing, same && offer.generation.is_some());
+        initial = InitialList {
+            listing,
+            versioned: same && offer.generation.is_some(),
+            inherited: offer.confirmed,
+        };
         rest = Some((wire, offer.connections));
     }
     let listener = match from {
@@ -261,13 +262,12 @@
     let discovery = Discovery::start(
         config.source,
         current.clone(),
-        known,
+        initial,
         engine.clone(),
         upstream.clone(),
         roster.clone(),
     );
-    let pushed = current.get().settings.discovery == Pushed && rest.is_none();
-    let mut heard = discovery.heard();
+    let mut confirmed = discovery.confirmed();
     tokio::spawn(discovery.run(asked));
     let front = Front::new(
         engine.clone(),
@@ -282,15 +282,16 @@
     let (name, listen) = (config.name, spare.local_addr()?);
     let house = House { name, listen, listener: spare, siblings, roster, life, engine, upstream, front, kin };
     let house = Arc::new(house);
-    if pushed {
+    if *confirmed.borrow() {
+        house.life.started();
+    } else {
         let life = house.life.clone();
         tokio::spawn(async move {
-            // Whether it came or not: a scheduler without a list is still there to say so.
-            let _ = timeout(LIST_WAIT, heard.wait_for(|heard| *heard)).await;
+            // If no answer comes, the module sends by the saved list from then on: there is no better one.
+            let wait = Duration::from_micros(CONFIRM_WITHIN);
+            let _ = timeout(wait, confirmed.wait_for(|confirmed| *confirmed)).await;
             life.started();
         });
-    } else {
-        house.life.started();
     }
     if let Some((wire, connections)) = rest {
         house.taken(wire, connections);
--- a/crates/vetchbridge/src/upgrade/mod.rs
+++ b/crates/vetchbridge/src/upgrade/mod.rs
@@ -16,6 +16,7 @@
 use crate::engine::Engine;
 use crate::list::listing::{Listing, Roster};
 use crate::operators::life::Life;
+use crate::operators::lifecycle::State;
 use crate::peers::UpstreamGroup;
 use crate::upgrade::kin::{Kin, Link, Message};
 use std::io;
@@ -218,6 +219,7 @@
                 quiesced: self.life.quiesced(),
                 source,
                 generation,
+                confirmed: self.life.state() != State::Starting,
                 connections: self.front.connections(),
             });
             let mut descriptors = vec![self.listener.as_fd()];
--- a/crates/vetchbridge/src/upgrade/words.rs
+++ b/crates/vetchbridge/src/upgrade/words.rs
@@ -71,10 +71,18 @@
     pub source: Option<SocketAddr>,
     /// The list's version there, if it has one.
     pub generation: Option<u64>,
+    /// Discovery has confirmed the list to the sender, or the sender serves without that.
+    #[serde(default = "yes")]
+    pub confirmed: bool,
     /// How many client connections there are.
     pub connections: usize,
 }
 
+/// What an offer that says nothing of it means: a process of before then served from its first moment.
+fn yes() -> bool {
+    true
+}
+
 impl Word {
     /// The message.
     pub fn write(&self) -> Vec<u8> {
@@ -110,7 +118,8 @@
     /// A word reads back as it was written, and no part of one passes for a word.
     #[test]
     fn a_word_is_read_whole_or_not_at_all() {
-        let offer = Offer { quiesced: true, source: None, generation: Some(7), connections: 3 };
+        let offer =
+            Offer { quiesced: true, source: None, generation: Some(7), confirmed: false, connections: 3 };
         let words = [
             Word::Offer(offer),
             Word::Entries(Vec::new()),
--- a/crates/vetchbridge/tests/common/mod.rs
+++ b/crates/vetchbridge/tests/common/mod.rs
@@ -102,6 +102,15 @@
            "cell": 0, "lifecycle": lifecycle, "weight": 1.0, "startedAtMs": 0})
 }
 
+/// Answers the first call of a daemon that has just started: its saved list is as it was. Its next call comes on a
+/// connection of its own.
+pub async fn confirm_list(discovery: &TcpListener) {
+    let mut wire = Wire::new(discovery.accept().await.expect("the first call").0);
+    assert_eq!(wire.asked().await, "/registry/instances?index=1&wait=0");
+    let unchanged = r#"{"generation":1,"reset":false,"instances":[]}"#;
+    wire.answer(200, "connection: close\r\n", unchanged).await.expect("the other side reads");
+}
+
 /// A configuration with two attempts a request and one class of each effect.
 pub fn config(discovery: SocketAddr, instances: Value) -> Value {
     let class = |name: &str, repeat: &str| {
@@ -174,6 +183,16 @@
         Process { child, config: path, address, admin, log: heard }
     }
 
+    /// Starts one and waits until it serves, its list confirmed by a discovery of its own that says no more after that.
+    pub async fn serving(config: &mut Value, folder: &Path) -> (Process, TcpListener) {
+        let discovery = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        config["discovery"] = discovery.local_addr().expect("bound").to_string().into();
+        let mut process = Process::start(config, folder);
+        confirm_list(&discovery).await;
+        process.logs("serving").await;
+        (process, discovery)
+    }
+
     /// An operators' call and its answer.
     pub async fn operate(&self, call: &str) -> String {
         let mut stream = TcpStream::connect(self.admin).await.expect("the door is there");
@@ -254,7 +273,9 @@
         let folder = tempfile::tempdir().expect("a folder");
         let mut config = config(discovery.local_addr().unwrap(), known.clone().into());
         config["limits"]["sockets"] = sockets.into();
-        let daemon = Process::start(&config, folder.path());
+        let mut daemon = Process::start(&config, folder.path());
+        confirm_list(&discovery).await;
+        daemon.logs("serving").await;
         Stage { daemon, folder, known, discovery, peers: listeners, next_id: 0xab00 }
     }
 
--- a/crates/vetchbridge/tests/node.rs
+++ b/crates/vetchbridge/tests/node.rs
@@ -593,7 +593,8 @@
     config["peer_listen"] = siblings.to_string().into();
     config["peers"] = json!([siblings.to_string()]);
     config["settings"]["limits"]["peers"] = true.into();
-    stage.daemon = Process::start(&config, stage.folder.path());
+    let (daemon, _discovery) = Process::serving(&mut config, stage.folder.path()).await;
+    stage.daemon = daemon;
     config["listen"] = stage.daemon.address.to_string().into();
     let successor = Process::start(&config, stage.folder.path());
     assert_eq!(successor.operate("health").await, "ok serving\n");
@@ -642,8 +643,8 @@
     let folder = tempfile::tempdir().expect("a folder");
     let folder = folder.path();
     leave(&folder.join(HANDOVER));
-    let config = config(stage.discovery.local_addr().unwrap(), json!([]));
-    let first = Process::start(&config, folder);
+    let mut config = config(stage.discovery.local_addr().unwrap(), json!([]));
+    let (first, _discovery) = Process::serving(&mut config, folder).await;
     let mut next = config.clone();
     next["listen"] = first.address.to_string().into();
     let next = Process::start(&next, folder);
@@ -683,9 +684,9 @@
     let mut stage = Stage::set(0).await;
     let nowhere = stage.folder.path().join("not-there");
     let mut config = config(stage.discovery.local_addr().unwrap(), json!([]));
-    let first = Process::start(&config, &nowhere);
+    let (first, _discovery) = Process::serving(&mut config, &nowhere).await;
     config["listen"] = first.address.to_string().into();
-    let second = Process::start(&config, &nowhere);
+    let (second, _discovery) = Process::serving(&mut config, &nowhere).await;
     assert_eq!(second.operate("health").await, "ok serving\n");
     drop(first);
     stage.daemon = second;
--- a/crates/vetchbridge/tests/parts.rs
+++ b/crates/vetchbridge/tests/parts.rs
@@ -13,13 +13,13 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::io::AsyncReadExt;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
 use tokio::time::Instant;
 use vetchbridge::config::read_text;
 use vetchbridge::engine::Engine;
 use vetchbridge::list::ask::Ask;
-use vetchbridge::list::discovery::Discovery;
+use vetchbridge::list::discovery::{Discovery, InitialList};
 use vetchbridge::list::listing::{Lifecycle, Roster, Source};
 use vetchbridge::peers::{Callback, Parcel, UpstreamGroup};
 use vetchbridge::request::{submit, Answer, Job};
@@ -47,6 +47,11 @@
 
     /// The list is asked for (`ask`) or pushed (`push`).
     async fn following(schedulers: u32, discovers: &str) -> Parts {
+        Parts::seeded(schedulers, discovers, 0x5eed).await
+    }
+
+    /// With this seed of the module's random numbers.
+    async fn seeded(schedulers: u32, discovers: &str, seed: u64) -> Parts {
         let discovery = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let class = json!({"name": "receipt", "repeat": "unsafe", "aim": 500_000, "deadline": 60_000_000});
         let document = json!({"name": "n0", "listen": "127.0.0.1:0", "seed": "5eed",
@@ -56,7 +61,7 @@
                 "rules": {"stop_sending_within": 500_000, "start_capacity": 0.2, "cold": 24_000_000,
                           "tip_multiple": 2.5, "fall": 2_000_000}}});
         let config = read_text("parts", &document.to_string()).expect("it reads").config;
-        let policy = Policy::new(config.snapshot.settings.clone(), config.seed).expect("sound settings");
+        let policy = Policy::new(config.snapshot.settings.clone(), seed).expect("sound settings");
         let upstream = Arc::new(UpstreamGroup::new(HANG, HANG, 1));
         let (asks, asked) = unbounded_channel();
         let engine = Engine::new(policy, upstream.clone(), asks.clone(), unbounded_channel().0);
@@ -79,6 +84,14 @@
         (wire, target)
     }
 
+    /// Answers the first call: the list is as it was. Returns the connection with the watch that follows.
+    async fn confirm(&self) -> Wire {
+        let (mut wire, _) = self.call().await;
+        wire.answer(200, "", r#"{"generation":1,"reset":false,"instances":[]}"#).await.expect("it is read");
+        wire.read().await.expect("the watch goes on");
+        wire
+    }
+
     /// The list as told: name and state of each peer.
     fn list(&self) -> Vec<(String, Lifecycle)> {
         let (instances, _) = self.roster.lock().expect("no panic").whole();
@@ -88,11 +101,12 @@
     /// Begins to follow the list, which is this one as last held.
     fn follow(&mut self, instances: Value) {
         let known = json!({"generation": 1, "reset": true, "instances": instances});
-        let known = (serde_json::from_value(known).expect("a list"), true);
+        let listing = serde_json::from_value(known).expect("a list");
+        let initial = InitialList { listing, versioned: true, inherited: false };
         let source = Source::Service(self.discovery.local_addr().expect("bound"));
         let roster = self.roster.clone();
         let (current, engine, upstream) = (self.current.clone(), self.engine.clone(), self.upstream.clone());
-        let discovery = Discovery::start(source, current, known, engine, upstream, roster);
+        let discovery = Discovery::start(source, current, initial, engine, upstream, roster);
         tokio::spawn(discovery.run(self.asks.take().expect("followed once")));
     }
 }
@@ -106,6 +120,15 @@
     tokio::time::sleep(Duration::from_millis(1)).await;
 }
 
+/// Whether a connection to this address has been asked for and has not come up.
+fn is_dialled(address: SocketAddr) -> bool {
+    const SYN_SENT: &str = "02";
+    let table = std::fs::read_to_string("/proc/net/tcp").expect("read");
+    let port = format!(":{:04X}", address.port());
+    let mut entries = table.lines().map(|line| line.split_whitespace().collect::<Vec<_>>());
+    entries.any(|entry| entry.len() > 3 && entry[2].ends_with(&port) && entry[3] == SYN_SENT)
+}
+
 /// Answers with this list, and ends the connection within it, before `cut`.
 async fn break_off(mut wire: Wire, list: &str, cut: &str) {
     let (begun, _) = list.split_once(cut).expect("it is in the list");
@@ -136,6 +159,7 @@
     let (a, b) = (TcpListener::bind("127.0.0.1:0").await, TcpListener::bind("127.0.0.1:0").await);
     let (a, b) = (a.expect("a port"), b.expect("a port"));
     parts.follow(json!([instance("s-a", a.local_addr().unwrap()), instance("s-b", b.local_addr().unwrap())]));
+    let _watch = parts.confirm().await;
     let id = "00000000000000ab";
     let request = Request {
         id: RequestId(0xab),
@@ -207,6 +231,91 @@
     assert!(called.elapsed() < Duration::from_secs(6), "{:?} after the call", called.elapsed());
 }
 
+/// How a call for the list fails, as far as the other end can make it.
+#[derive(Clone, Copy, Debug)]
+enum CallFails {
+    /// Turned away.
+    Refused,
+    /// Its connection is reset.
+    Reset,
+    /// Its answer breaks off within an entry.
+    Cut,
+    /// Its answer stops within an entry, and the connection stays open.
+    Stopped,
+    /// Nothing comes, and the connection stays open.
+    Silent,
+}
+
+impl CallFails {
+    /// Fails the call that was read from this connection; returns it where it stays open.
+    async fn fail(self, mut wire: Wire) -> Option<Wire> {
+        let list = r#"{"generation":9,"reset":true,"instances":[{"instanceId":"s-cut"}]}"#;
+        match self {
+            CallFails::Refused => wire.answer(503, "connection: close\r\n", "").await.expect("it is read"),
+            CallFails::Reset => wire.reset(),
+            CallFails::Cut => break_off(wire, list, "s-cut").await,
+            CallFails::Stopped => {
+                let (begun, _) = list.split_once("s-cut").expect("it is in the list");
+                let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{begun}", list.len());
+                wire.write(&answer).await.expect("it is read");
+                return Some(wire);
+            }
+            CallFails::Silent => return Some(wire),
+        }
+        None
+    }
+}
+
+/// A change counts as told 6 s after discovery had it and could be reached, and half a second more is left to stop sending.
+/// Discovery may come back in the moment after a call has been lost, and may let the next one wait for its turn for two
+/// seconds: the next one must be out 3.5 s after the lost one at the latest, whatever became of that and of those before.
+#[rstest]
+#[timeout(HANG)]
+#[tokio::test(start_paused = true)]
+async fn no_lost_call_keeps_the_next_one_from_bringing_news_in_time(
+    #[values(CallFails::Refused, CallFails::Reset, CallFails::Cut, CallFails::Stopped, CallFails::Silent)]
+    fails: CallFails,
+    #[values(1, 3, 300)] schedulers: u32,
+    #[values(1, 7)] seed: u64,
+) {
+    let mut parts = Parts::seeded(schedulers, "ask", seed).await;
+    parts.follow(json!([]));
+    let mut wire = parts.confirm().await;
+    let mut open = Vec::new();
+    for number in 0..6 {
+        let called = Instant::now();
+        open.extend(fails.fail(wire).await);
+        wire = parts.call().await.0;
+        let apart = called.elapsed();
+        assert!(apart <= Duration::from_millis(3_500), "call {number} was followed after {apart:?}");
+    }
+}
+
+/// A first call whose connection never comes up is one that was lost, too.
+#[rstest]
+#[timeout(HANG)]
+#[tokio::test(start_paused = true)]
+async fn a_dial_that_is_lost_does_not_keep_the_next_one_from_bringing_news_in_time() {
+    let mut parts = Parts::of(1).await;
+    // Nobody hears a dial to a listener whose backlog is full.
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.bind("127.0.0.1:0".parse().expect("an address")).expect("a port");
+    parts.discovery = socket.listen(0).expect("it listens");
+    let address = parts.discovery.local_addr().expect("bound");
+    let _filler = TcpStream::connect(address).await.expect("the one that it has room for");
+    let began = Instant::now();
+    parts.follow(json!([]));
+    for dials in [true, false] {
+        while is_dialled(address) != dials {
+            // The clock is paused: this is no wait, but lets it move on, by less than the pause before the next call.
+            tokio::time::sleep(Duration::from_millis(25)).await;
+        }
+    }
+    parts.discovery.accept().await.expect("the filler");
+    let _next = parts.call().await;
+    assert!(began.elapsed() <= Duration::from_millis(3_500), "{:?} after the start", began.elapsed());
+}
+
 /// Where lists are pushed, the module asks for none: the watch that pushes them is there from the first moment, whatever the
 /// saved list holds, and there again at once after an answer, a refusal, a reset or silence.
 #[rstest]
--- a/crates/wirehost/tests/wire.rs
+++ b/crates/wirehost/tests/wire.rs
@@ -34,6 +34,9 @@
 
 const REQUEST: &str = "req req=00000000000000ab lane=0 project=0 object=k due=9000000 width=1 novel=x\n";
 
+/// Discovery's answer that nothing has changed since the list that the instance was opened with.
+const CONFIRMED: &str = "topology mode=INCREMENTAL epoch=1 nodes_list=0\n";
+
 #[test]
 fn an_empty_batch_has_an_empty_reply() {
     let output = adapter("begin_batch time=8412250\ncommit\n");
@@ -44,7 +47,7 @@
 #[test]
 fn a_request_is_sent_refused_by_the_worker_and_ended() {
     let input = format!(
-        "{}begin_batch time=5002000\ninstance who=3\nnovelty a=1\n{REQUEST}commit\n\
+        "{}begin_batch time=5002000\ninstance who=3\nnovelty a=1\n{CONFIRMED}{REQUEST}commit\n\
          begin_batch time=5004000\ninstance who=3\nattempt_end req=00000000000000ab leg=0 runner=10.0.0.1:80 \
          state_code=200 spent=1500 terminal=1 feedback=x0:nonsense,x9:4\ncommit\n",
         opened()
@@ -61,6 +64,20 @@
     assert_eq!(lines.last().map(String::as_str), Some("end"));
 }
 
+#[test]
+fn a_request_waits_until_the_saved_list_is_confirmed() {
+    let input = format!(
+        "{}begin_batch time=5002000\ninstance who=3\n{REQUEST}commit\n\
+         begin_batch time=5004000\ninstance who=3\n{CONFIRMED}commit\n",
+        opened()
+    );
+    let output = adapter(&input);
+    let text = String::from_utf8_lossy(&output.stdout);
+    let replies: Vec<&str> = text.split("end\n").collect();
+    assert!(!replies[1].contains("call_out"), "{text}");
+    assert!(replies[2].contains("call_out req=00000000000000ab"), "{text}");
+}
+
 #[test]
 fn malformed_input_is_named_by_line_and_field_and_answered_with_no_decision() {
     let batch = |lines: &str| format!("{}begin_batch time=5002000\n{lines}", opened());
