Split the stand-in peer into modules for spec, script, connections, jobs and callbacks

Change: peer/ has spec.rs (configuration), script.rs (scripted behaviour), server.rs (the task that owns everything), connection.rs and probes.rs (HTTP), job.rs and execution.rs (a job's request, place and run), callbacks.rs (typed updates and their delivery) and state.rs (what the tasks share). The public paths platform::peer::{Act, Peer, PeerSpec, ProbeAct, ProbeSpec} and their methods are the same; no behaviour is meant to change.

--- /dev/null
+++ b/crates/platform/src/peer/execution.rs
@@ -0,0 +1,190 @@
+//! The execution of a job: from the queue through a slot to its last callback.
+
+use super::callbacks::{Delivery, JobUpdate};
+use super::job::{JobPlace, JobRequest};
+use super::script::Act;
+use super::state::PeerState;
+use crate::queue::Held;
+use crate::runs::{result, Admission, RunEnd};
+use futures_util::future::BoxFuture;
+use std::future::Future;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
+use tokio::sync::watch;
+use tokio::time::sleep;
+
+/// The work of a job is done in steps of at most this time, since the peer's speed may change meanwhile.
+const WORK_STEP: Duration = Duration::from_millis(50);
+/// The longest step in seconds, for a peer that is nearly stopped; it keeps the step representable.
+const MAX_STEP: f64 = 3600.0;
+/// Remaining work, in seconds, that counts as none: less than the clock resolves would never be done.
+const WORK_EPSILON: f64 = 1e-6;
+/// A callback that is not valid JSON.
+const INVALID_CALLBACK: &str = "{\"id\":";
+
+/// A job that was accepted, to its last callback.
+pub(super) type JobFuture = BoxFuture<'static, ()>;
+
+/// Why an execution ended before the job was done.
+enum EarlyEnd {
+    /// Without another callback.
+    Silent,
+    /// With this callback.
+    Reported(JobUpdate),
+}
+
+impl PeerState {
+    /// Enters a job in the queue; the future runs it. Its callbacks go out in order and never delay the run.
+    pub(super) fn job(self: Arc<Self>, job: JobRequest, act: Act) -> JobFuture {
+        let place = JobPlace::enqueue(self.clone(), job.id);
+        Box::pin(async move {
+            let (updates, sent) = unbounded_channel();
+            let (id, scheduler) = (job.id, job.scheduler);
+            let delivery = if act == Act::Pieces { Delivery::ByteByByte } else { Delivery::Whole };
+            let reporting = async {
+                let mut sent: UnboundedReceiver<JobUpdate> = sent;
+                while let Some(update) = sent.recv().await {
+                    self.report(scheduler, id, &update, delivery).await;
+                }
+            };
+            tokio::join!(self.run_job(place, &job, &act, updates), reporting);
+        })
+    }
+
+    /// Runs a job and hands its callbacks to `updates`.
+    async fn run_job(
+        &self,
+        place: JobPlace,
+        job: &JobRequest,
+        act: &Act,
+        updates: UnboundedSender<JobUpdate>,
+    ) {
+        if *act == Act::Garble {
+            self.callbacks.deliver(job.scheduler, INVALID_CALLBACK.to_string()).await;
+        }
+        let execution = Execution { peer: self, job, act, updates: &updates, cancelled: place.cancelled() };
+        let last = match execution.run(place).await {
+            Ok(update) | Err(EarlyEnd::Reported(update)) => update,
+            Err(EarlyEnd::Silent) => return,
+        };
+        let repeats = if let Act::Repeat(times) = act { *times } else { 1 };
+        for _ in 0..repeats {
+            // The receiver lives until this sender is dropped.
+            let _ = updates.send(last.clone());
+        }
+    }
+
+    /// The last callback of a job whose run has finished.
+    fn done(&self, number: usize) -> JobUpdate {
+        JobUpdate::Done { result: result(self.runs.id_of(number), number) }
+    }
+}
+
+/// One job in execution.
+struct Execution<'a> {
+    peer: &'a PeerState,
+    job: &'a JobRequest,
+    act: &'a Act,
+    updates: &'a UnboundedSender<JobUpdate>,
+    cancelled: watch::Receiver<bool>,
+}
+
+impl Execution<'_> {
+    /// From the queue to the end of the run; the last callback.
+    async fn run(mut self, mut place: JobPlace) -> Result<JobUpdate, EarlyEnd> {
+        match self.act {
+            Act::Forget => return Err(EarlyEnd::Silent),
+            Act::HandBack => return Err(EarlyEnd::Reported(JobUpdate::Returned)),
+            _ => {}
+        }
+        let slots = self.wait_for_slots().await?;
+        place.begin();
+        let run = self.job.run(&self.peer.spec.name, self.peer.elapsed());
+        match self.peer.runs.start(run, self.peer.spec.window) {
+            Admission::Run(number) => {
+                place.set_run(number);
+                self.run_in_slots(number).await
+            }
+            Admission::Finished(first) => Ok(self.peer.done(first)),
+            Admission::Running(first) => {
+                drop(slots);
+                self.peer.record_load();
+                match self.peer.runs.ended(first).await {
+                    RunEnd::Finished => Ok(self.peer.done(first)),
+                    _ => Err(EarlyEnd::Reported(JobUpdate::Failed)),
+                }
+            }
+        }
+    }
+
+    /// Waits in the queue until the job has its slots, is cancelled, or the peer drains.
+    async fn wait_for_slots(&mut self) -> Result<Held, EarlyEnd> {
+        let mut draining = self.peer.draining.subscribe();
+        tokio::select! {
+            biased;
+            _ = self.cancelled.wait_for(|cancelled| *cancelled) => Err(EarlyEnd::Silent),
+            _ = draining.wait_for(|draining| *draining) => Err(EarlyEnd::Reported(JobUpdate::Returned)),
+            slots = self.peer.slots.take(self.job.slots) => slots.ok_or(EarlyEnd::Silent),
+        }
+    }
+
+    /// The run itself, in slots that the caller holds.
+    async fn run_in_slots(&mut self, number: usize) -> Result<JobUpdate, EarlyEnd> {
+        if self.peer.spec.tells_start {
+            self.update(JobUpdate::Started)?;
+        }
+        match self.act {
+            Act::Lose => return Err(EarlyEnd::Reported(JobUpdate::Lost)),
+            Act::Fail => {
+                self.peer.runs.end(number, RunEnd::Failed);
+                return Err(EarlyEnd::Reported(JobUpdate::Failed));
+            }
+            _ => {}
+        }
+        let peer = self.peer;
+        self.unless_cancelled(number, peer.kept.ready(&self.job.object)).await?;
+        self.work(number).await?;
+        peer.runs.end(number, RunEnd::Finished);
+        Ok(peer.done(number))
+    }
+
+    /// Does the job's work and reports progress.
+    async fn work(&mut self, number: usize) -> Result<(), EarlyEnd> {
+        let (peer, progress) = (self.peer, self.peer.spec.progress);
+        let total = self.job.work.as_secs_f64();
+        let mut remaining = total;
+        let mut since_report = Duration::ZERO;
+        while remaining > WORK_EPSILON {
+            let step = WORK_STEP.min(Duration::from_secs_f64((remaining / peer.rate()).min(MAX_STEP)));
+            self.unless_cancelled(number, sleep(step)).await?;
+            remaining -= step.as_secs_f64() * peer.rate();
+            since_report += step;
+            if !progress.is_zero() && since_report >= progress && remaining > WORK_EPSILON {
+                since_report = Duration::ZERO;
+                self.update(JobUpdate::Running { share: 1.0 - remaining / total })?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Awaits one part of a run; a peer that stops running jobs gives it up when the job is cancelled.
+    async fn unless_cancelled(
+        &mut self,
+        number: usize,
+        part: impl Future<Output = ()>,
+    ) -> Result<(), EarlyEnd> {
+        tokio::select! {
+            () = part => Ok(()),
+            _ = self.cancelled.wait_for(|cancelled| *cancelled), if self.peer.spec.stops_running => {
+                self.peer.runs.end(number, RunEnd::Stopped);
+                Err(EarlyEnd::Silent)
+            }
+        }
+    }
+
+    /// Hands over a callback.
+    fn update(&self, update: JobUpdate) -> Result<(), EarlyEnd> {
+        self.updates.send(update).map_err(|_| EarlyEnd::Silent)
+    }
+}
--- /dev/null
+++ b/crates/platform/src/peer/job.rs
@@ -0,0 +1,128 @@
+//! A job: what its request says, and its place among the jobs that a peer holds.
+
+use super::state::PeerState;
+use crate::runs::{Run, RunEnd};
+use crate::wire::Message;
+use std::net::SocketAddr;
+use std::num::ParseIntError;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::watch;
+
+/// The id that a request carries; `None` if it carries none.
+pub(super) fn request_id(message: &Message) -> Option<Result<u64, ParseIntError>> {
+    message.header("x-trace-id").map(|id| u64::from_str_radix(id, 16))
+}
+
+/// A job as its request describes it.
+pub(super) struct JobRequest {
+    /// The request's id.
+    pub(super) id: u64,
+    /// Where the scheduler is called back.
+    pub(super) scheduler: SocketAddr,
+    /// Seconds of work at speed 1.
+    pub(super) work: Duration,
+    /// Number of slots that it takes.
+    pub(super) slots: usize,
+    /// The object that it needs.
+    pub(super) object: String,
+    class: String,
+    key: Option<String>,
+}
+
+impl JobRequest {
+    /// Reads a job of the path `/CLASS/OBJECT`, whose body may name `work_us=` and `slots=`.
+    pub(super) fn read(
+        id: u64,
+        scheduler: SocketAddr,
+        message: &Message,
+        default_work: Duration,
+    ) -> JobRequest {
+        let path = message.target().split('?').next().unwrap_or_default().trim_start_matches('/');
+        let (class, object) = path.split_once('/').unwrap_or((path, ""));
+        let body = message.text();
+        JobRequest {
+            id,
+            scheduler,
+            work: number_after(&body, "work_us=").map_or(default_work, Duration::from_micros),
+            slots: number_after(&body, "slots=").map_or(1, |slots| slots as usize),
+            object: object.to_string(),
+            class: class.to_string(),
+            key: message.header("idempotency-key").map(str::to_string),
+        }
+    }
+
+    /// The entry for the account of runs.
+    pub(super) fn run(&self, peer: &str, started: Duration) -> Run {
+        Run {
+            id: self.id,
+            key: self.key.clone(),
+            class: self.class.clone(),
+            object: self.object.clone(),
+            peer: peer.to_string(),
+            started,
+            end: RunEnd::Open,
+        }
+    }
+}
+
+/// The decimal number that follows a name in a text.
+fn number_after(text: &str, name: &str) -> Option<u64> {
+    let rest = text.split(name).nth(1)?;
+    rest.split(|c: char| !c.is_ascii_digit()).next()?.parse().ok()
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    Waiting,
+    Running,
+}
+
+/// A job's place among those that wait or run; dropping it gives the place back and ends its run as lost unless it
+/// has ended otherwise.
+pub(super) struct JobPlace {
+    peer: Arc<PeerState>,
+    id: u64,
+    cancelled: watch::Receiver<bool>,
+    run: Option<usize>,
+    phase: Phase,
+}
+
+impl JobPlace {
+    /// Enters a job among those that wait.
+    pub(super) fn enqueue(peer: Arc<PeerState>, id: u64) -> JobPlace {
+        let cancelled = peer.enqueue(id);
+        JobPlace { peer, id, cancelled, run: None, phase: Phase::Waiting }
+    }
+
+    /// Signals that the job is cancelled.
+    pub(super) fn cancelled(&self) -> watch::Receiver<bool> {
+        self.cancelled.clone()
+    }
+
+    /// Moves the job from the queue to a slot.
+    pub(super) fn begin(&mut self) {
+        self.phase = Phase::Running;
+        self.peer.begin();
+    }
+
+    /// Names the run that this place is for.
+    pub(super) fn set_run(&mut self, number: usize) {
+        self.run = Some(number);
+    }
+}
+
+impl Drop for JobPlace {
+    fn drop(&mut self) {
+        match self.phase {
+            Phase::Waiting => self.peer.leave_queue(),
+            Phase::Running => self.peer.leave_slot(),
+        }
+        self.peer.record_load();
+        if let Some(run) = self.run {
+            // The account keeps the first end that it was told.
+            self.peer.runs.end(run, RunEnd::Lost);
+        }
+        self.peer.forget_cancellation(self.id, &self.cancelled);
+    }
+}
--- /dev/null
+++ b/crates/platform/src/peer/mod.rs
@@ -0,0 +1,170 @@
+//! A peer (worker): accepts jobs, runs them by a small model of a worker, and reports to its scheduler by callbacks;
+//! or misbehaves, once for each [`Act`] that a test scripts.
+//!
+//! One task owns the listeners, the connections and the jobs; [`Peer::kill`] ends all of it as the death of a process
+//! does, and dropping the peer likewise. A peer listens on one port for each scheduler, since that is how it knows
+//! whom to call back. It keeps no account of its own: what ran is recorded in [`Runs`].
+
+mod callbacks;
+mod connection;
+mod execution;
+mod job;
+mod probes;
+mod script;
+mod server;
+mod spec;
+mod state;
+
+pub use script::{Act, ProbeAct};
+pub use spec::{PeerSpec, ProbeSpec};
+
+use crate::runs::Runs;
+use crate::{Owned, Port};
+use callbacks::{Delivery, JobUpdate};
+use server::{SchedulerListener, Stop};
+use state::PeerState;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+/// The port on which one scheduler reaches a peer.
+struct SchedulerPort {
+    port: Port,
+    /// Where the scheduler is called back.
+    scheduler: SocketAddr,
+}
+
+impl SchedulerPort {
+    fn reserve(scheduler: SocketAddr) -> io::Result<SchedulerPort> {
+        Ok(SchedulerPort { port: Port::reserve()?, scheduler })
+    }
+
+    fn listen(&self) -> io::Result<SchedulerListener> {
+        Ok(SchedulerListener { listener: self.port.listen()?, scheduler: self.scheduler })
+    }
+}
+
+/// The task of a running peer.
+struct RunningServer {
+    _task: Owned,
+    stop: oneshot::Sender<Stop>,
+}
+
+/// A peer on loopback sockets; dropping it ends it.
+pub struct Peer {
+    state: Arc<PeerState>,
+    ports: Vec<SchedulerPort>,
+    server: Mutex<Option<RunningServer>>,
+}
+
+impl Peer {
+    /// Starts a peer at full speed with a port for each scheduler, given by the address that it calls back.
+    pub async fn start(spec: PeerSpec, runs: Runs, schedulers: &[SocketAddr]) -> io::Result<Peer> {
+        Peer::start_at(spec, runs, schedulers, Instant::now()).await
+    }
+
+    /// Like [`Peer::start`], with the time at which the account of runs began.
+    pub async fn start_at(
+        spec: PeerSpec,
+        runs: Runs,
+        schedulers: &[SocketAddr],
+        began: Instant,
+    ) -> io::Result<Peer> {
+        let state = Arc::new(PeerState::new(spec, runs, began));
+        let ports = schedulers.iter().copied().map(SchedulerPort::reserve).collect::<io::Result<_>>()?;
+        let peer = Peer { state, ports, server: Mutex::new(None) };
+        peer.listen()?;
+        Ok(peer)
+    }
+
+    fn listen(&self) -> io::Result<()> {
+        let listeners = self.ports.iter().map(SchedulerPort::listen).collect::<io::Result<_>>()?;
+        let (stop, stopped) = oneshot::channel();
+        let task = Owned::spawn(server::serve(self.state.clone(), listeners, stopped));
+        *self.server() = Some(RunningServer { _task: task, stop });
+        Ok(())
+    }
+
+    fn server(&self) -> MutexGuard<'_, Option<RunningServer>> {
+        self.server.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Its configuration.
+    pub fn spec(&self) -> &PeerSpec {
+        &self.state.spec
+    }
+
+    /// Where each scheduler reaches it, in the order of the schedulers.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.ports.iter().map(|port| port.port.address()).collect()
+    }
+
+    /// When its process was last restarted, as Unix time in milliseconds; 0 for never.
+    pub fn started_at_ms(&self) -> u64 {
+        self.state.restarted_at_ms()
+    }
+
+    /// Scripts what it does with the next jobs, one entry each; jobs after them are served.
+    pub fn next(&self, acts: impl IntoIterator<Item = Act>) {
+        self.state.lock().script.extend_jobs(acts);
+    }
+
+    /// Scripts what it does with the next probes, one entry each; probes after them are answered.
+    pub fn next_probes(&self, acts: impl IntoIterator<Item = ProbeAct>) {
+        self.state.lock().script.extend_probes(acts);
+    }
+
+    /// Sets how old its load reports are from now on.
+    pub fn tell_late(&self, late: Duration) {
+        self.state.lock().ledger.late(late);
+    }
+
+    /// Starts or stops rejecting every job without having run it.
+    pub fn refuse(&self, refusing: bool) {
+        self.state.lock().refusing = refusing;
+    }
+
+    /// Runs this many times slower than configured.
+    pub fn slow(&self, times: f64) {
+        self.state.slow_down(times);
+    }
+
+    /// Returns the jobs that wait, and rejects those that come from now on.
+    pub fn drain(&self) {
+        self.state.draining.send_replace(true);
+    }
+
+    /// Dies: its connections are reset, its jobs are lost and new connections are refused. With `told`, the machine's
+    /// agent reports the lost jobs to the schedulers.
+    pub async fn kill(&self, told: bool) {
+        self.state.lock().killed = true;
+        let Some(server) = self.server().take() else { return };
+        let open = self.state.open_jobs();
+        let (ended, end) = oneshot::channel();
+        if server.stop.send(ended).is_ok() {
+            let _ = end.await;
+        }
+        if told {
+            open.into_iter().for_each(|id| self.report_lost(id));
+        }
+    }
+
+    /// Reports a job as lost to every scheduler.
+    fn report_lost(&self, id: u64) {
+        for port in &self.ports {
+            let (state, scheduler) = (self.state.clone(), port.scheduler);
+            tokio::spawn(async move {
+                state.report(scheduler, id, &JobUpdate::Lost, Delivery::Whole).await;
+            });
+        }
+    }
+
+    /// Comes back after its death: cold and without jobs, at the same ports.
+    pub fn restart(&self) -> io::Result<()> {
+        self.state.restart();
+        self.listen()
+    }
+}
--- /dev/null
+++ b/crates/platform/src/peer/script.rs
@@ -0,0 +1,86 @@
+//! Scripted behaviour: what a peer does with its next jobs and probes, one entry each.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+/// What a peer does with one job.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Act {
+    /// Runs it.
+    Serve,
+    /// Answers with this status instead of 202.
+    Answer {
+        /// Status code.
+        status: u16,
+        /// Whether the answer carries `X-Never-Ran: 1`.
+        never_ran: bool,
+    },
+    /// Reads it and sends nothing until the scheduler closes the connection.
+    Mute,
+    /// Resets the connection after the head, with the body unread.
+    CutInBody,
+    /// Reads it whole, then resets the connection before any answer.
+    CutBeforeAnswer,
+    /// Sends half of a 202, then closes the connection.
+    HalfAnswer,
+    /// Answers 202 and never sends a callback.
+    Forget,
+    /// Answers 202, starts it and loses it.
+    Lose,
+    /// Answers 202, starts it and fails.
+    Fail,
+    /// Answers 202 and returns it without having started it.
+    HandBack,
+    /// Sends the final callback before the 202.
+    Overtake,
+    /// Sends the final callback this many times.
+    Repeat(u32),
+    /// Answers 202, sends a callback that is not valid JSON, then runs it.
+    Garble,
+    /// Runs it, and writes the 202 and every callback one byte at a time.
+    Pieces,
+}
+
+/// What a peer does with one probe.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ProbeAct {
+    /// Answers it as configured.
+    Answer,
+    /// Answers it as configured after this delay.
+    Late(Duration),
+    /// Sends nothing until the scheduler closes the connection.
+    Mute,
+    /// Answers 503.
+    Refuse,
+    /// Resets the connection.
+    Cut,
+}
+
+/// The entries not yet used up; jobs and probes beyond them are served normally.
+#[derive(Default)]
+pub(super) struct Script {
+    jobs: VecDeque<Act>,
+    probes: VecDeque<ProbeAct>,
+}
+
+impl Script {
+    /// Appends entries for jobs.
+    pub(super) fn extend_jobs(&mut self, acts: impl IntoIterator<Item = Act>) {
+        self.jobs.extend(acts);
+    }
+
+    /// Appends entries for probes.
+    pub(super) fn extend_probes(&mut self, acts: impl IntoIterator<Item = ProbeAct>) {
+        self.probes.extend(acts);
+    }
+
+    /// Takes the entry for the next job.
+    pub(super) fn next_job(&mut self) -> Act {
+        self.jobs.pop_front().unwrap_or(Act::Serve)
+    }
+
+    /// Takes the entry for the next probe.
+    pub(super) fn next_probe(&mut self) -> ProbeAct {
+        self.probes.pop_front().unwrap_or(ProbeAct::Answer)
+    }
+}
--- /dev/null
+++ b/crates/platform/src/peer/server.rs
@@ -0,0 +1,73 @@
+//! The task that owns the listeners, connections and jobs of a running peer.
+
+use super::connection::Connection;
+use super::execution::JobFuture;
+use super::state::PeerState;
+use crate::wire::Wire;
+use futures_util::future::select_all;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc::{unbounded_channel, UnboundedSender};
+use tokio::sync::oneshot;
+use tokio::task::JoinSet;
+
+/// A listener for one scheduler.
+pub(super) struct SchedulerListener {
+    /// The socket.
+    pub(super) listener: TcpListener,
+    /// Where the scheduler is called back.
+    pub(super) scheduler: SocketAddr,
+}
+
+/// A request to stop; the sender that it carries is used once everything has ended.
+pub(super) type Stop = oneshot::Sender<()>;
+
+struct Server {
+    peer: Arc<PeerState>,
+    connections: JoinSet<()>,
+    jobs: JoinSet<()>,
+    job_starts: UnboundedSender<JobFuture>,
+}
+
+/// Serves until `stop` says otherwise, then ends all connections and jobs.
+pub(super) async fn serve(
+    peer: Arc<PeerState>,
+    listeners: Vec<SchedulerListener>,
+    mut stop: oneshot::Receiver<Stop>,
+) {
+    let (job_starts, mut started) = unbounded_channel();
+    let mut server = Server { peer, connections: JoinSet::new(), jobs: JoinSet::new(), job_starts };
+    let stopped = loop {
+        let accepts = listeners.iter().map(|one| Box::pin(one.listener.accept()));
+        tokio::select! {
+            stopped = &mut stop => break stopped,
+            Some(job) = started.recv() => drop(server.jobs.spawn(job)),
+            Some(_) = server.connections.join_next(), if !server.connections.is_empty() => {}
+            Some(_) = server.jobs.join_next(), if !server.jobs.is_empty() => {}
+            (accepted, at, _) = select_all(accepts), if !listeners.is_empty() => {
+                if let Ok((stream, _)) = accepted {
+                    server.accept(stream, listeners[at].scheduler);
+                }
+            }
+        }
+    };
+    drop(listeners);
+    server.connections.shutdown().await;
+    server.jobs.shutdown().await;
+    if let Ok(ended) = stopped {
+        let _ = ended.send(());
+    }
+}
+
+impl Server {
+    /// Serves a connection, or closes it if there are too many.
+    fn accept(&mut self, stream: TcpStream, scheduler: SocketAddr) {
+        if self.connections.len() >= self.peer.spec.connections {
+            return;
+        }
+        let mut connection = Connection::new(self.peer.clone(), scheduler, Wire::new(stream));
+        let job_starts = self.job_starts.clone();
+        self.connections.spawn(async move { connection.run(&job_starts).await });
+    }
+}
--- /dev/null
+++ b/crates/platform/src/peer/spec.rs
@@ -0,0 +1,91 @@
+//! Configuration of a stand-in peer.
+
+use crate::queue::Order;
+use crate::stats::StatsSpec;
+use crate::store::Store;
+use std::time::Duration;
+
+/// Configuration of one peer.
+#[derive(Clone, Debug)]
+pub struct PeerSpec {
+    /// Name in discovery.
+    pub name: String,
+    /// Zone in discovery.
+    pub zone: String,
+    /// Kind of machine.
+    pub kind: String,
+    /// Cell number.
+    pub cell: u32,
+    /// Weight that discovery publishes.
+    pub weight: f64,
+    /// Number of jobs that run at once.
+    pub slots: usize,
+    /// Number of jobs that may wait for a slot; the next one is rejected without having run.
+    pub queue: usize,
+    /// Work that one slot completes per second, in seconds at speed 1.
+    pub speed: f64,
+    /// Fraction of `speed` at which a restarted peer begins.
+    pub cold_share: f64,
+    /// Time that a restarted peer takes to reach full speed.
+    pub cold_time: Duration,
+    /// Whether it sends a callback when a job starts.
+    pub tells_start: bool,
+    /// Interval between progress callbacks; zero for none.
+    pub progress: Duration,
+    /// Maximum number of open connections; a further one is closed at once.
+    pub connections: usize,
+    /// Idle time after which a connection is closed.
+    pub idle: Duration,
+    /// Whether a running job stops when it is cancelled.
+    pub stops_running: bool,
+    /// How long repeats of a keyed job are deduplicated.
+    pub window: Duration,
+    /// Work of a job whose body names none.
+    pub work: Duration,
+    /// Order in which waiting jobs start.
+    pub order: Order,
+    /// Load reports; none are sent if absent.
+    pub stats: Option<StatsSpec>,
+    /// Handling of probes; they are answered with 404 if absent.
+    pub probes: Option<ProbeSpec>,
+    /// Store that objects are fetched from, and the number of objects that are cached; jobs need no objects if absent.
+    pub setup: Option<(Store, usize)>,
+}
+
+/// How a peer handles probes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ProbeSpec {
+    /// Whether a probe takes a slot as a job does, and is rejected where a job would be.
+    pub deep: bool,
+    /// Work of a probe at speed 1.
+    pub work: Duration,
+}
+
+impl PeerSpec {
+    /// A peer at full speed with free slots, whose jobs end at once.
+    pub fn new(name: &str) -> PeerSpec {
+        PeerSpec {
+            name: name.to_string(),
+            zone: "main".to_string(),
+            kind: "any".to_string(),
+            cell: 0,
+            weight: 1.0,
+            slots: 64,
+            queue: 1024,
+            speed: 1.0,
+            cold_share: 0.2,
+            cold_time: Duration::from_secs(24),
+            tells_start: true,
+            progress: Duration::from_secs(1),
+            connections: 1024,
+            idle: Duration::from_secs(60),
+            stops_running: true,
+            window: Duration::from_secs(15),
+            work: Duration::ZERO,
+            order: Order::Fifo,
+            stats: None,
+            probes: None,
+            setup: None,
+        }
+    }
+}
