Split the kit's plan into modules for schedulers, peers, load, faults and checks

Need: crates/vetchkit/src/plan.rs had 558 lines for the format, its checks and three translations; Plan::parse alone had 100. Change: plan/ has scheduler.rs, peers.rs, load.rs and trouble.rs, each with its tables of the format and what is made of them, check.rs with a function for each reference, and mod.rs with Plan itself. Classes and tenants share one check of unknown names. A scheduler's file takes a SchedulerSpec and gives a text, where five arguments gave a pair whose first half nobody read; What is TroubleKind. The stage's start of its schedulers is a function of its own. No behaviour is meant to change but the words of some descriptions: those of setup.room and setup.kept also show where the keys are missing.

--- /dev/null
+++ b/crates/vetchkit/src/plan/load.rs
@@ -0,0 +1,148 @@
+//! The load of a plan: its tables in the format, and the clients' load that is made of them.
+
+use super::defaults::{one, yes};
+use super::Plan;
+use platform::arrivals::{ClassLoad, LoadSpec, Repeat, TenantLoad};
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+use vetchbridge::config::file;
+use vetchbridge::config::units::Span;
+
+/// The load: an open loop.
+#[derive(Clone, Debug, Deserialize, Serialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Load {
+    /// Jobs a second.
+    #[schemars(range(min = 0.001, max = 1000000.0))]
+    pub rate: f64,
+    /// For how long.
+    pub duration: Span,
+    /// How often a client retries.
+    #[serde(default)]
+    #[schemars(range(max = 100))]
+    pub retries: u32,
+    /// How long it waits before the first retry, unless the answer says otherwise.
+    #[serde(default)]
+    pub pause: Span,
+    /// The share of refused clients that wait as long as the answer says instead.
+    #[serde(default = "one")]
+    #[schemars(range(min = 0.0, max = 1.0))]
+    pub heeds: f64,
+    /// Whether a retry is marked as one.
+    #[serde(default = "yes")]
+    pub marks_retries: bool,
+    /// Whether clients give a hint of the work.
+    #[serde(default = "yes")]
+    pub hints: bool,
+    /// How far hints are off: the sigma of a log-normal factor.
+    #[serde(default)]
+    #[schemars(range(min = 0.0, max = 5.0))]
+    pub hint_spread: f64,
+    /// The tenants, of daemon.tenant; jobs belong to no tenant where there are none.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub tenant: Vec<LoadTenant>,
+    /// What is sent of each class of daemon.class.
+    pub class: Vec<LoadClass>,
+}
+
+/// What is sent for a tenant.
+#[derive(Clone, Debug, Deserialize, Serialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct LoadTenant {
+    /// Its name in daemon.tenant.
+    pub name: String,
+    /// Its share of the jobs, relative to the others'.
+    #[serde(default = "one")]
+    #[schemars(range(min = 0.0))]
+    pub share: f64,
+}
+
+impl LoadTenant {
+    fn spec(&self) -> TenantLoad {
+        TenantLoad { name: self.name.clone(), share: self.share }
+    }
+}
+
+/// What is sent of a class.
+#[derive(Clone, Debug, Deserialize, Serialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct LoadClass {
+    /// Its name in daemon.class.
+    pub name: String,
+    /// Its share of the jobs, relative to the others'.
+    #[serde(default = "one")]
+    #[schemars(range(min = 0.0))]
+    pub share: f64,
+    /// The mean of its work at speed 1.
+    pub work: Span,
+    /// How widely work varies: the sigma of a log-normal distribution.
+    #[serde(default)]
+    #[schemars(range(min = 0.0, max = 5.0))]
+    pub spread: f64,
+    /// How many objects its jobs are about.
+    #[serde(default = "objects")]
+    #[schemars(range(min = 1))]
+    pub objects: u64,
+    /// How unevenly these are asked for: the exponent of a Zipf distribution.
+    #[serde(default)]
+    #[schemars(range(min = 0.0, max = 10.0))]
+    pub zipf: f64,
+    /// Slots that a job takes at a peer.
+    #[serde(default = "slots")]
+    #[schemars(range(min = 1))]
+    pub slots: usize,
+}
+
+fn objects() -> u64 {
+    100
+}
+
+fn slots() -> usize {
+    1
+}
+
+impl LoadClass {
+    /// The load of this class, with the terms that schedulers serve it under.
+    fn spec(&self, class: &file::Class) -> ClassLoad {
+        ClassLoad {
+            name: self.name.clone(),
+            share: self.share,
+            worth: class.worth,
+            work: self.work.duration(),
+            spread: self.spread,
+            aim: class.aim.duration(),
+            stretch: class.stretch,
+            deadline: class.deadline.duration(),
+            repeat: match class.repeat {
+                file::Repeat::Safe => Repeat::Safe,
+                file::Repeat::Unsafe => Repeat::Unsafe,
+                file::Repeat::Keyed => Repeat::Keyed(class.window.map_or(Duration::ZERO, Span::duration)),
+            },
+            objects: self.objects,
+            zipf: self.zipf,
+            slots: self.slots,
+        }
+    }
+}
+
+impl Plan {
+    /// The load in the clients' terms.
+    pub fn load_spec(&self) -> LoadSpec {
+        let class = |load: &LoadClass| {
+            let class = self.daemon.class.iter().find(|class| class.name == load.name)?;
+            Some(load.spec(class))
+        };
+        LoadSpec {
+            seed: self.seed,
+            rate: self.load.rate,
+            classes: self.load.class.iter().filter_map(class).collect(),
+            tenants: self.load.tenant.iter().map(LoadTenant::spec).collect(),
+            hints: self.load.hints.then_some(self.load.hint_spread),
+            heeds: self.load.heeds,
+            marks_retries: self.load.marks_retries,
+            retries: self.load.retries,
+            pause: self.load.pause.duration(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/vetchkit/src/plan/scheduler.rs
@@ -0,0 +1,92 @@
+//! The schedulers of a plan: their table in the format, and the configuration file of each.
+
+use super::Plan;
+use platform::peer::PeerSpec;
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use vetchbridge::config::file;
+use vetchbridge::config::units::{Address, Seed, Span};
+
+/// An odd constant that spreads the plan's seed over its schedulers: 2^64 divided by the golden ratio.
+const SEED_MULTIPLIER: u64 = 0x9e37_79b9_7f4a_7c15;
+
+/// The schedulers.
+#[derive(Clone, Debug, Deserialize, Serialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Schedulers {
+    /// How many.
+    #[schemars(range(min = 1, max = 64))]
+    pub count: usize,
+    /// How late the front notices that one has gone.
+    #[serde(default = "notice")]
+    pub notice: Span,
+    /// How late discovery learns of changes.
+    #[serde(default)]
+    pub lateness: Span,
+}
+
+fn notice() -> Span {
+    Span::s(2)
+}
+
+/// A peer that a scheduler knows before it asks discovery.
+pub struct KnownPeer {
+    /// The peer's configuration.
+    pub spec: PeerSpec,
+    /// Where this scheduler reaches it.
+    pub address: SocketAddr,
+}
+
+impl KnownPeer {
+    fn entry(&self) -> file::Peer {
+        file::Peer {
+            name: self.spec.name.clone(),
+            address: Address(self.address),
+            zone: Some(self.spec.zone.clone()),
+            kind: Some(self.spec.kind.clone()),
+            cell: self.spec.cell,
+            weight: self.spec.weight,
+        }
+    }
+}
+
+/// What the configuration of one scheduler needs beyond the plan.
+pub struct SchedulerSpec<'a> {
+    /// Its number, from 0.
+    pub number: usize,
+    /// Where it listens.
+    pub listen: SocketAddr,
+    /// Where it reaches discovery.
+    pub discovery: SocketAddr,
+    /// The peers that it knows at its start.
+    pub known: &'a [KnownPeer],
+    /// The socket at which a successor takes over; none if absent.
+    pub handover: Option<PathBuf>,
+}
+
+impl Plan {
+    /// The text of one scheduler's configuration file.
+    pub fn scheduler_config(&self, spec: SchedulerSpec<'_>) -> String {
+        let mut file = self.daemon.clone();
+        let seed = self.seed.wrapping_mul(SEED_MULTIPLIER).wrapping_add(spec.number as u64);
+        let zones = &file.fleet.zones;
+        file.tier.me = spec.number as u32;
+        file.tier.schedulers = self.schedulers.count as u32;
+        file.tier.zone = Some(zones[spec.number % zones.len()].clone());
+        file.name = format!("n{}", spec.number);
+        file.listen = Address(spec.listen);
+        file.discovery = Some(Address(spec.discovery));
+        file.handover = spec.handover;
+        file.seed = Some(Seed(seed));
+        file.peer = spec.known.iter().map(KnownPeer::entry).collect();
+        // A File is plain data, which TOML can always hold.
+        toml::to_string(&file).unwrap_or_default()
+    }
+
+    /// The name of a scheduler's configuration file.
+    pub fn file_name(number: usize) -> PathBuf {
+        PathBuf::from(format!("n{number}.toml"))
+    }
+}
--- /dev/null
+++ b/crates/vetchkit/src/plan/trouble.rs
@@ -0,0 +1,49 @@
+//! Faults that a plan injects at set times.
+
+use platform::discovery::Health;
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+use vetchbridge::config::units::Span;
+
+/// What goes wrong.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize, JsonSchema)]
+#[serde(rename_all = "kebab-case")]
+pub enum TroubleKind {
+    /// Discovery answers 503 to every call.
+    ListRefuses,
+    /// Discovery resets every call.
+    ListResets,
+    /// Peers' load reports are older than otherwise.
+    StatsLate,
+    /// A peer dies, and comes back cold.
+    PeerDies,
+}
+
+impl TroubleKind {
+    /// How discovery answers meanwhile, if it is discovery that fails.
+    pub fn health(self) -> Option<Health> {
+        match self {
+            TroubleKind::ListRefuses => Some(Health::Failing),
+            TroubleKind::ListResets => Some(Health::Resetting),
+            TroubleKind::StatsLate | TroubleKind::PeerDies => None,
+        }
+    }
+}
+
+/// A fault that is injected at a set time.
+#[derive(Clone, Debug, Deserialize, Serialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Trouble {
+    /// list-refuses, list-resets, stats-late or peer-dies.
+    pub what: TroubleKind,
+    /// When it begins, from the start of the load.
+    pub at: Span,
+    /// How long it lasts.
+    pub lasts: Span,
+    /// Of stats-late: how old load reports are.
+    #[serde(default)]
+    pub late: Span,
+    /// Of peer-dies: the name of the peer.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub peer: Option<String>,
+}
--- a/crates/vetchkit/src/runner.rs
+++ b/crates/vetchkit/src/runner.rs
@@ -156,7 +156,7 @@
         let lasts = trouble.lasts.duration();
         match (trouble.what.health(), trouble.what) {
             (Some(health), _) => discovery.out_for(health, lasts).await,
-            (None, plan::What::StatsLate) => {
+            (None, plan::TroubleKind::StatsLate) => {
                 peers.iter().for_each(|peer| peer.tell_late(trouble.late.duration()));
                 sleep(lasts).await;
                 for peer in peers {
--- a/crates/vetchkit/src/stage.rs
+++ b/crates/vetchkit/src/stage.rs
@@ -2,7 +2,7 @@
 //!
 //! Owns everything that was started; dropping it ends all of it. It must never judge what happens on it.
 
-use crate::plan::Plan;
+use crate::plan::{KnownPeer, Plan, SchedulerSpec};
 use crate::scheduler::{binary, Scheduler};
 use crate::{machine, Failure};
 use platform::discovery::Discovery;
@@ -76,20 +76,41 @@
             .map_err(machine("the front"))?;
         let mut stage =
             Stage { schedulers: Vec::new(), peers, discovery, runs, front, began, folder, _ports: ports };
-        for number in 0..count {
-            let known: Vec<_> =
-                stage.peers.iter().map(|p| (p.spec().clone(), p.addresses()[number])).collect();
-            let path = stage.folder().join(Plan::file_name(number));
-            let handover = Some(path.with_extension("handover"));
-            let discovery = stage.discovery.address(number);
-            let (_, text) = plan.scheduler(number, &addresses, discovery, &known, handover);
-            std::fs::write(&path, text).map_err(machine("a scheduler's configuration"))?;
-            stage.schedulers.push(Scheduler::start(&binary, &path, addresses[number], extra)?);
-        }
+        stage.start_schedulers(plan, &binary, &addresses, extra)?;
         stage.ready().await?;
         Ok(stage)
     }
 
+    /// Writes the configuration of each scheduler and starts it.
+    fn start_schedulers(
+        &mut self,
+        plan: &Plan,
+        binary: &Path,
+        addresses: &[SocketAddr],
+        extra: &[String],
+    ) -> Result<(), Failure> {
+        for (number, listen) in addresses.iter().copied().enumerate() {
+            let path = self.folder().join(Plan::file_name(number));
+            let text = plan.scheduler_config(SchedulerSpec {
+                number,
+                listen,
+                discovery: self.discovery.address(number),
+                known: &self.known_peers(number),
+                handover: Some(path.with_extension("handover")),
+            });
+            std::fs::write(&path, text).map_err(machine("a scheduler's configuration"))?;
+            self.schedulers.push(Scheduler::start(binary, &path, listen, extra)?);
+        }
+        Ok(())
+    }
+
+    /// The peers as one scheduler knows them at its start.
+    fn known_peers(&self, scheduler: usize) -> Vec<KnownPeer> {
+        let known =
+            |peer: &Peer| KnownPeer { spec: peer.spec().clone(), address: peer.addresses()[scheduler] };
+        self.peers.iter().map(known).collect()
+    }
+
     /// Where files and logs are.
     pub fn folder(&self) -> &Path {
         match &self.folder {
