--- /dev/null
+++ b/crates/platform/tests/arrivals.rs
@@ -0,0 +1,82 @@
+//! A seeded load: its distributions, its reproducibility and the faults of its configuration.
+#![allow(missing_docs)]
+
+use platform::arrivals::{Arrival, Arrivals, ClassLoad, LoadSpec, Repeat, TenantLoad};
+use std::time::Duration;
+
+fn spec() -> LoadSpec {
+    let class = |name: &str, share, work| ClassLoad {
+        name: name.to_string(),
+        share,
+        worth: 1.0,
+        work: Duration::from_millis(work),
+        spread: 0.5,
+        aim: Duration::from_millis(200),
+        stretch: 2.0,
+        deadline: Duration::from_secs(5),
+        repeat: Repeat::Safe,
+        objects: 100,
+        zipf: 1.0,
+        slots: 1,
+    };
+    let classes = vec![class("a", 3.0, 200), class("b", 1.0, 800)];
+    let tenant = |name: &str, share| TenantLoad { name: name.to_string(), share };
+    LoadSpec {
+        seed: 7,
+        rate: 50.0,
+        classes,
+        tenants: vec![tenant("x", 4.0), tenant("y", 1.0)],
+        hints: Some(0.0),
+        heeds: 1.0,
+        marks_retries: true,
+        retries: 0,
+        pause: Duration::ZERO,
+    }
+}
+
+#[test]
+fn a_load_is_what_it_says_and_the_same_for_the_same_seed() {
+    let drawn: Vec<Arrival> = Arrivals::new(&spec()).expect("a load").take(20_000).collect();
+    assert_eq!(drawn, Arrivals::new(&spec()).expect("a load").take(20_000).collect::<Vec<_>>());
+    let rate = 20_000.0 / drawn[19_999].at.as_secs_f64();
+    assert!((48.0..52.0).contains(&rate), "{rate}");
+    let of_b: Vec<f64> = drawn.iter().filter(|a| a.class == 1).map(|a| a.work.as_secs_f64()).collect();
+    assert!((0.24..0.26).contains(&(of_b.len() as f64 / 20_000.0)), "{}", of_b.len());
+    let mean = of_b.iter().sum::<f64>() / of_b.len() as f64;
+    assert!((0.77..0.83).contains(&mean), "{mean}");
+    let hot = drawn.iter().filter(|a| a.object == "a-1").count() as f64 / 15_000.0;
+    let of_y = drawn.iter().filter(|a| a.tenant == Some(1)).count() as f64 / 20_000.0;
+    assert!((0.19..0.21).contains(&of_y), "{of_y}");
+    assert!(drawn.iter().all(|a| a.hint == Some(a.work)), "exact where they are off by nothing");
+    assert!((0.17..0.22).contains(&hot), "the first of 100 by Zipf has 1/H(100) = 0.19: {hot}");
+}
+
+#[test]
+fn one_concern_more_or_less_leaves_the_others_draws_alone() {
+    let mut other = spec();
+    other.classes[0].spread = 0.1;
+    other.classes[0].zipf = 0.5;
+    other.tenants.clear();
+    other.hints = Some(0.3);
+    let times = |spec: &LoadSpec| {
+        Arrivals::new(spec).expect("a load").take(500).map(|a| (a.at, a.class)).collect::<Vec<_>>()
+    };
+    assert_eq!(times(&spec()), times(&other));
+}
+
+#[test]
+fn a_load_that_makes_no_sense_names_its_field() {
+    let with = |change: fn(&mut LoadSpec)| {
+        let mut spec = spec();
+        change(&mut spec);
+        Arrivals::new(&spec).err().map(|error| error.key)
+    };
+    assert_eq!(with(|s| s.rate = 0.0).as_deref(), Some("rate"));
+    assert_eq!(with(|s| s.rate = f64::NAN).as_deref(), Some("rate"));
+    assert_eq!(with(|s| s.classes.clear()).as_deref(), Some("classes"));
+    assert_eq!(with(|s| s.classes[0].share = -1.0).as_deref(), Some("share"));
+    assert_eq!(with(|s| s.classes[1].spread = -1.0).as_deref(), Some("b.spread"));
+    assert_eq!(with(|s| s.classes[1].zipf = -1.0).as_deref(), Some("b.zipf"));
+    assert_eq!(with(|s| s.tenants[0].share = -1.0).as_deref(), Some("tenant"));
+    assert_eq!(with(|s| s.hints = Some(-1.0)).as_deref(), Some("hint_spread"));
+}
--- /dev/null
+++ b/crates/platform/tests/runs.rs
@@ -0,0 +1,26 @@
+//! The record of runs: which repeats of keyed jobs are deduplicated.
+#![allow(missing_docs)]
+
+use platform::runs::{Admission, Run, RunEnd, Runs};
+use std::time::Duration;
+
+fn run(key: &str, at: u64) -> Run {
+    let (class, object, peer) = ("c".to_string(), "o".to_string(), "s-0".to_string());
+    let started = Duration::from_secs(at);
+    Run { id: 1, key: Some(key.to_string()), class, object, peer, started, end: RunEnd::Open }
+}
+
+#[test]
+fn a_repeat_is_dropped_within_its_window_unless_the_first_run_broke_off() {
+    let (runs, window) = (Runs::default(), Duration::from_secs(15));
+    assert_eq!(runs.start(run("k", 0), window), Admission::Run(0));
+    assert_eq!(runs.start(run("k", 5), window), Admission::Running(0));
+    runs.end(0, RunEnd::Finished);
+    runs.end(0, RunEnd::Lost);
+    assert_eq!(runs.start(run("k", 14), window), Admission::Finished(0));
+    assert_eq!(runs.start(run("other", 14), window), Admission::Run(1));
+    assert_eq!(runs.start(run("k", 15), window), Admission::Run(2));
+    runs.end(2, RunEnd::Lost);
+    assert_eq!(runs.start(run("k", 16), window), Admission::Run(3));
+    assert_eq!(runs.counts(), (0, 2));
+}
