Split the daemon's configuration into precedence and translation beside its entry points

Change: precedence.rs has flags, environment and the origin of each value, typed as Overrides in place of pairs of strings; translate.rs has the translation and its faults in functions of one step each; mod.rs keeps the types and entry points, and the public paths are the same. The platform's document uses the same Overrides where it kept pairs of its own. No behaviour is meant to change.

--- a/crates/vetchbridge/src/config/platform.rs
+++ b/crates/vetchbridge/src/config/platform.rs
@@ -2,6 +2,7 @@
 //!
 //! Owns the names of its keys. It stays as the platform has it: a key of ours belongs into our own file.
 
+use super::precedence::{self, Environment, Overrides};
 use super::{file, Config, ConfigError, Effective, Fault, Flags, Read, Siblings};
 use crate::list::listing::{Names, Source};
 use crate::peers::load::{FreeSlots, Reports};
@@ -92,12 +93,7 @@
 }
 
 /// Checks the document's text; flags and `env` win over the keys that they name.
-pub fn read(
-    source: &str,
-    text: &str,
-    flags: &Flags,
-    env: &dyn Fn(&str) -> Option<String>,
-) -> Result<Read, ConfigError> {
+pub fn read(source: &str, text: &str, flags: &Flags, env: &Environment<'_>) -> Result<Read, ConfigError> {
     let mut root: Map<String, Value> = match serde_json::from_str(text) {
         Ok(root) => root,
         Err(error) => {
@@ -108,17 +104,17 @@
         }
     };
     let as_it_stands = Value::Object(root.clone());
-    let mut told: Vec<(&str, &str)> = Vec::new();
+    let mut overrides = Overrides::default();
     for (variable, key, flag) in [
         ("BALANCER_NAME", "name", flags.name.clone()),
         ("BALANCER_LISTEN", "listen", flags.listen.map(|address| address.to_string())),
         ("BALANCER_ADMIN", "admin", None),
         ("BALANCER_DISCOVERY", "discovery", flags.discovery.map(|address| address.to_string())),
     ] {
-        let by = if flag.is_some() { "flag" } else { variable };
+        let by_flag = flag.is_some();
         if let Some(value) = flag.or_else(|| env(variable)) {
             root.insert(key.to_string(), Value::String(value));
-            told.push((key, by));
+            overrides.record(key, by_flag, variable);
         }
     }
     let root = Value::Object(root);
@@ -184,12 +180,11 @@
         seed: seed.unwrap_or_default(),
         snapshot: Snapshot::new(settings, names, idle.map_or(CONN_IDLE, Duration::from_micros), reports),
         document: Some(as_it_stands),
-        log: super::log(&file::File::default(), flags, env),
+        log: precedence::log(&file::File::default(), flags, env),
     };
-    let from =
-        |key: &str| told.iter().find(|(told, _)| *told == key).map_or(source, |(_, by)| by).to_string();
-    let effective =
-        super::leaves(root).into_iter().map(|(key, value)| Effective { from: from(&key), key, value });
+    let from = |key: &str| overrides.origin(key).unwrap_or(source).to_string();
+    let effective = precedence::leaves(root).into_iter();
+    let effective = effective.map(|(key, value)| Effective { from: from(&key), key, value });
     Ok(Read { config, effective: effective.collect() })
 }
 
--- /dev/null
+++ b/crates/vetchbridge/src/config/translate.rs
@@ -0,0 +1,339 @@
+//! Translation of a well-formed file into a [`Config`], with the faults that the format's schema can't find.
+
+use super::check::{Fault, Text};
+use super::file::{
+    Attempts, File, Follow, FreeSlots, Group, Load, Prices, QueueOrder, Repeat, Rules, Weights,
+};
+use super::platform::CONN_IDLE;
+use super::{Config, ConfigError, Siblings};
+use crate::list::listing::{Instance, Lifecycle, Listing, Names, Source};
+use crate::peers::load::{self, Reports};
+use crate::snapshot::Snapshot;
+use silverproxy::interface::{
+    self, Class, Discovery, Effect, KindId, RepeatGroup, ReportVia, Settings, Tenant, ZoneId,
+};
+use std::collections::BTreeSet;
+
+/// Translates a file whose text is `text`; all of its faults otherwise, in the order of their places.
+pub(super) fn config(file: &File, text: &Text<'_>) -> Result<Config, ConfigError> {
+    Translation { file, text, faults: Vec::new() }.config()
+}
+
+/// The translation of a well-formed file; collects faults on the way.
+struct Translation<'f> {
+    file: &'f File,
+    text: &'f Text<'f>,
+    faults: Vec<Fault>,
+}
+
+impl Translation<'_> {
+    /// Records a fault at a key.
+    fn bad(&mut self, key: impl AsRef<str>, what: impl Into<String>, remedy: impl Into<String>) {
+        self.faults.push(self.text.fault(key.as_ref(), what, remedy));
+    }
+
+    /// The place of a name among those that it must be one of.
+    fn index(&mut self, key: String, name: Option<&String>, among: &[String], list: &str) -> u32 {
+        let Some(name) = name else { return 0 };
+        if let Some(index) = among.iter().position(|known| known == name) {
+            return index as u32;
+        }
+        self.bad(key, format!("{name:?} is not in {list}"), format!("one of {}", among.join(", ")));
+        0
+    }
+
+    /// Every name of a list has to be there once.
+    fn unique<'n>(&mut self, list: &str, names: impl Iterator<Item = &'n String>) {
+        let mut seen = BTreeSet::new();
+        for (index, name) in names.enumerate() {
+            if name.is_empty() {
+                self.bad(format!("{list}[{index}].name"), "empty", "a name");
+            }
+            if !seen.insert(name) {
+                self.bad(
+                    format!("{list}[{index}].name"),
+                    format!("{name:?} is there already"),
+                    "a name of its own",
+                );
+            }
+        }
+    }
+
+    fn config(mut self) -> Result<Config, ConfigError> {
+        let file = self.file;
+        self.check_lists();
+        self.check_own_number();
+        let zone = self.own_zone();
+        self.check_tier_and_load();
+        let classes: Vec<Class> = (0..file.class.len()).map(|index| self.class(index)).collect();
+        let instances: Vec<Instance> = (0..file.peer.len()).map(|index| self.peer(index)).collect();
+        let settings = self.settings(zone, classes);
+        if let Err(error) = settings.check() {
+            self.bad(ours(error.field), error.reason, "");
+        }
+        if !self.faults.is_empty() {
+            self.faults.sort_by_key(|fault| fault.at);
+            return Err(ConfigError(self.faults));
+        }
+        let listing = Listing { generation: 0, reset: true, instances };
+        let (source, known) = match file.discovery {
+            Some(address) => (Source::Service(address.0), listing),
+            None => (Source::Fixed(listing), Listing::default()),
+        };
+        Ok(Config {
+            name: file.name.clone(),
+            listen: file.listen.0,
+            admin: file.admin.map(|address| address.0),
+            handover: file.handover.clone(),
+            source,
+            sockets: file.limits.sockets as usize,
+            memory: file.limits.memory.0 as usize,
+            siblings: siblings(file),
+            known,
+            seed: file.seed.map_or_else(seed_of_this_start, |seed| seed.0),
+            snapshot: snapshot(file, settings),
+            document: None,
+            log: file.log.clone(),
+        })
+    }
+
+    /// Lists that must not be empty, or have a name twice.
+    fn check_lists(&mut self) {
+        let file = self.file;
+        if file.class.is_empty() {
+            self.bad("class", "no class of requests", "add a [[class]] with name, repeat, aim and deadline");
+        }
+        self.unique("class", file.class.iter().map(|class| &class.name));
+        self.unique("tenant", file.tenant.iter().map(|tenant| &tenant.name));
+        self.unique("peer", file.peer.iter().map(|peer| &peer.name));
+        if file.discovery.is_none() && file.peer.is_empty() {
+            let remedy = "name a discovery service, or list the peers as [[peer]]";
+            self.bad("discovery", "no discovery and no peer", remedy);
+        }
+    }
+
+    /// This scheduler's number among those of its tier.
+    fn check_own_number(&mut self) {
+        let tier = &self.file.tier;
+        if tier.me >= tier.schedulers {
+            let remedy = format!("0 to {}", tier.schedulers.saturating_sub(1));
+            self.bad("tier.me", "not below tier.schedulers", remedy);
+        }
+    }
+
+    /// The number of this scheduler's zone.
+    fn own_zone(&mut self) -> u32 {
+        let (tier, fleet) = (&self.file.tier, &self.file.fleet);
+        self.index("tier.zone".to_string(), tier.zone.as_ref(), &fleet.zones, "fleet.zones")
+    }
+
+    /// Keys that must agree with one another.
+    fn check_tier_and_load(&mut self) {
+        let (tier, file) = (&self.file.tier, self.file);
+        let addresses = tier.each.len();
+        if tier.messages.is_some() && addresses > 0 && addresses != tier.schedulers as usize {
+            let what = format!("{addresses} addresses for {} schedulers", tier.schedulers);
+            self.bad("tier.each", what, "one for each");
+        }
+        if file.fleet.load == Load::Probes && !file.attempts.probe {
+            let remedy = "attempts.probe = true, or fleet.load = \"off\"";
+            self.bad("fleet.load", "probes that attempts.probe does not permit", remedy);
+        }
+    }
+
+    /// What a repeat of a class's request does.
+    fn effect(&mut self, index: usize) -> Effect {
+        let class = &self.file.class[index];
+        let group = match class.group {
+            Group::All => RepeatGroup::All,
+            Group::Zone => RepeatGroup::Zone,
+            Group::Cell => RepeatGroup::Cell,
+        };
+        match (class.repeat, class.window) {
+            (Repeat::Safe, _) => Effect::Safe,
+            (Repeat::Unsafe, _) => Effect::Unsafe,
+            (Repeat::Keyed, Some(window)) => Effect::Keyed { group, window: window.0 },
+            (Repeat::Keyed, None) => {
+                let remedy = "a keyed class says how long peers drop a repeat, such as window = \"15s\"";
+                self.bad(format!("class[{index}].window"), "missing", remedy);
+                Effect::Unsafe
+            }
+        }
+    }
+
+    fn class(&mut self, index: usize) -> Class {
+        let (class, effect) = (&self.file.class[index], self.effect(index));
+        if class.aim > class.deadline {
+            self.bad(
+                format!("class[{index}].aim"),
+                "longer than the deadline",
+                format!("at most {}", class.deadline),
+            );
+        }
+        if class.name.contains('/') {
+            self.bad(format!("class[{index}].name"), "has a slash", "it is one part of a path");
+        }
+        let key = format!("class[{index}].kind");
+        let kind = self.index(key, class.kind.as_ref(), &self.file.fleet.kinds, "fleet.kinds");
+        Class {
+            aim: class.aim.0,
+            stretch: class.stretch,
+            deadline: class.deadline.0,
+            worth: class.worth,
+            late_share: class.late_share,
+            effect,
+            kind: class.kind.as_ref().map(|_| KindId(kind)),
+            priority: class.priority,
+            stream: class.stream,
+        }
+    }
+
+    fn peer(&mut self, index: usize) -> Instance {
+        let (peer, fleet) = (&self.file.peer[index], &self.file.fleet);
+        let zone = self.index(format!("peer[{index}].zone"), peer.zone.as_ref(), &fleet.zones, "fleet.zones");
+        let kind = self.index(format!("peer[{index}].kind"), peer.kind.as_ref(), &fleet.kinds, "fleet.kinds");
+        let name = |names: &[String], index: u32| names.get(index as usize).cloned().unwrap_or_default();
+        Instance {
+            instance_id: peer.name.clone(),
+            host_port: peer.address.to_string(),
+            zone: name(&fleet.zones, zone),
+            machine_type: name(&fleet.kinds, kind),
+            cell: peer.cell,
+            lifecycle: Lifecycle::Up,
+            weight: peer.weight,
+            started_at_ms: 0,
+        }
+    }
+
+    fn settings(&self, zone: u32, classes: Vec<Class>) -> Settings {
+        let File { tier, fleet, worth, tenant, .. } = self.file;
+        Settings {
+            me: tier.me,
+            dispatchers: tier.schedulers,
+            zone: ZoneId(zone),
+            classes,
+            tenants: tenant.iter().map(|t| Tenant { allowance_per_s: t.allowance_per_s }).collect(),
+            over_share_worth: worth.over_share,
+            worth_by_work: worth.by_work,
+            discovery: discovery(fleet.follow),
+            report_via: report_via(fleet.load),
+            weights: weights(fleet.weights),
+            queue_order: queue_order(fleet.queue_order),
+            tells_start: fleet.tells_start,
+            progress_every: fleet.progress.0,
+            limits: limits(&self.file.attempts),
+            rules: rules(&self.file.rules),
+            prices: prices(&self.file.prices),
+            tick: tier.tick.0,
+        }
+    }
+}
+
+fn siblings(file: &File) -> Option<Siblings> {
+    let listen = file.tier.messages.filter(|_| file.attempts.messages)?;
+    Some(Siblings {
+        listen: listen.0,
+        each: file.tier.each.iter().map(|address| address.0).collect(),
+        all: file.tier.all.map(|address| address.0),
+    })
+}
+
+fn snapshot(file: &File, settings: Settings) -> Snapshot {
+    let reports = Reports {
+        via: settings.report_via,
+        free_slots: match file.fleet.free_slots {
+            FreeSlots::X0 => load::FreeSlots::X0,
+            FreeSlots::X1 => load::FreeSlots::X1,
+            FreeSlots::Untold => load::FreeSlots::Untold,
+        },
+    };
+    let names = Names {
+        zones: file.fleet.zones.clone(),
+        kinds: file.fleet.kinds.clone(),
+        classes: file.class.iter().map(|class| class.name.clone()).collect(),
+        tenants: file.tenant.iter().map(|tenant| tenant.name.clone()).collect(),
+    };
+    let conn_idle = Some(file.fleet.conn_idle.duration()).filter(|idle| !idle.is_zero());
+    Snapshot::new(settings, names, conn_idle.unwrap_or(CONN_IDLE), reports)
+}
+
+fn discovery(follow: Follow) -> Discovery {
+    match follow {
+        Follow::Ask => Discovery::Ask,
+        Follow::Push => Discovery::Push,
+    }
+}
+
+fn report_via(load: Load) -> ReportVia {
+    match load {
+        Load::Off => ReportVia::Never,
+        Load::Answers => ReportVia::Answers,
+        Load::Probes => ReportVia::Probes,
+    }
+}
+
+fn weights(weights: Weights) -> interface::Weights {
+    match weights {
+        Weights::Off => interface::Weights::Fixed,
+        Weights::Nominal | Weights::Rough => interface::Weights::Size,
+        Weights::Live => interface::Weights::Live,
+    }
+}
+
+fn queue_order(order: QueueOrder) -> interface::QueueOrder {
+    match order {
+        QueueOrder::Fifo => interface::QueueOrder::Fifo,
+        QueueOrder::Backfill => interface::QueueOrder::Backfill,
+        QueueOrder::Priority => interface::QueueOrder::Priority,
+    }
+}
+
+fn limits(attempts: &Attempts) -> interface::Limits {
+    interface::Limits {
+        max_attempts: attempts.max,
+        second_copies: attempts.second_copies,
+        dial_timeout: attempts.dial_timeout.0,
+        may_probe: attempts.probe,
+        may_cancel: attempts.cancel,
+        retry_after: attempts.retry_after,
+        max_retry_after: attempts.max_retry_after.0,
+        may_message_peers: attempts.messages,
+    }
+}
+
+fn rules(rules: &Rules) -> interface::Rules {
+    interface::Rules {
+        answer_slack: rules.answer_slack.0,
+        drain_grace: rules.drain_grace.0,
+        ask_within: rules.ask_within.map(|span| span.0),
+        cold_share: rules.cold_share,
+        cold_time: rules.cold_time.0,
+        fall_multiple: rules.fall_multiple,
+        fall_time: rules.fall_time.0,
+    }
+}
+
+fn prices(prices: &Prices) -> interface::Prices {
+    interface::Prices {
+        cross_zone: prices.cross_zone,
+        probe: prices.probe,
+        waste: prices.waste,
+        handshake: prices.handshake,
+    }
+}
+
+/// The key of the file for a field of the decision module's settings.
+fn ours(field: &str) -> &str {
+    match field {
+        "me" => "tier.me",
+        "limits.max_attempts" => "attempts.max",
+        "tenants.allowance_per_s" => "tenant",
+        other => other,
+    }
+}
+
+/// A seed that differs from one start to the next.
+fn seed_of_this_start() -> u64 {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
+    (since.as_nanos() as u64) ^ (u64::from(std::process::id()) << 32)
+}
