Read the platform's document in steps: own keys, settings, overrides

Change: OwnKeys and SettingsKeys are read each by a function of its own, in the order in which the faults were told before; parsing and the overrides by flags and environment are functions too. No behaviour is meant to change.

--- a/crates/vetchbridge/src/config/platform.rs
+++ b/crates/vetchbridge/src/config/platform.rs
@@ -4,7 +4,7 @@
 
 use super::precedence::{self, Environment, Overrides};
 use super::{file, Config, ConfigError, Effective, Fault, Flags, Read, Siblings};
-use crate::list::listing::{Names, Source};
+use crate::list::listing::{Listing, Names, Source};
 use crate::peers::load::{FreeSlots, Reports};
 use crate::snapshot::Snapshot;
 use serde::de::DeserializeOwned;
@@ -14,7 +14,9 @@
 use std::path::Path;
 use std::time::Duration;
 
+/// Descriptors that the process may hold where nothing says otherwise.
 const SOCKETS: usize = 1024;
+/// Memory that it may take where nothing says otherwise, in MiB.
 const MEMORY_MB: usize = 192;
 /// When peers close an idle connection where nothing says otherwise.
 pub const CONN_IDLE: Duration = Duration::from_secs(60);
@@ -92,18 +94,105 @@
     }
 }
 
-/// Checks the document's text; flags and `env` win over the keys that they name.
-pub fn read(source: &str, text: &str, flags: &Flags, env: &Environment<'_>) -> Result<Read, ConfigError> {
-    let mut root: Map<String, Value> = match serde_json::from_str(text) {
-        Ok(root) => root,
-        Err(error) => {
-            let at = Some((error.line(), error.column())).filter(|(line, _)| *line > 0);
-            let (source, key) = (source.to_string(), String::new());
-            let what = format!("not a JSON object: {error}");
-            return Err(ConfigError(vec![Fault { source, at, key, what, remedy: String::new() }]));
+/// The document's keys beside the settings.
+struct OwnKeys {
+    name: String,
+    listen: SocketAddr,
+    discovery: SocketAddr,
+    admin: Option<SocketAddr>,
+    sockets: usize,
+    memory_mb: usize,
+    seed: u64,
+    known: Listing,
+    messages: Option<SocketAddr>,
+    each: Vec<SocketAddr>,
+    all: Option<SocketAddr>,
+}
+
+/// The document's settings and what the daemon alone needs of them.
+struct SettingsKeys {
+    settings: Settings,
+    names: Names,
+    conn_idle: Duration,
+    free_slots: FreeSlots,
+}
+
+impl Document<'_> {
+    /// Reads the keys beside the settings; placeholders stand for those that are at fault.
+    fn own_keys(&mut self, root: &Value) -> OwnKeys {
+        let (top, limits) = (Some(root), root.get("limits"));
+        let nowhere = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        OwnKeys {
+            sockets: self.optional(limits, "sockets", "limits.sockets").unwrap_or(SOCKETS),
+            memory_mb: self.optional(limits, "memory_mb", "limits.memory_mb").unwrap_or(MEMORY_MB),
+            seed: self.seed(root).unwrap_or_default(),
+            name: self.required(root, "name").unwrap_or_default(),
+            listen: self.required(root, "listen").unwrap_or(nowhere),
+            discovery: self.required(root, "discovery").unwrap_or(nowhere),
+            admin: self.optional(top, "admin", "admin"),
+            known: self.optional(top, "known", "known").unwrap_or_default(),
+            messages: self.optional(top, "peer_listen", "peer_listen"),
+            each: self.optional(top, "peers", "peers").unwrap_or_default(),
+            all: self.optional(top, "peers_all", "peers_all"),
         }
-    };
-    let as_it_stands = Value::Object(root.clone());
+    }
+
+    fn seed(&mut self, root: &Value) -> Option<u64> {
+        let digits: String = self.required(root, "seed")?;
+        u64::from_str_radix(&digits, 16).map_err(|error| self.bad("seed", error)).ok()
+    }
+
+    /// Reads the settings; `None` if they can't be read at all.
+    fn settings(&mut self, json: &Value) -> Option<SettingsKeys> {
+        let limits = json.get("limits");
+        let conn_idle = self.optional(limits, "conn_idle", "settings.limits.conn_idle");
+        let names = Names {
+            zones: self.optional(Some(json), "areas", "settings.areas").unwrap_or_default(),
+            kinds: self.optional(Some(json), "kinds", "settings.kinds").unwrap_or_default(),
+            classes: self.names_of(json, "services"),
+            tenants: self.names_of(json, "accounts"),
+        };
+        let meaning = |field| json.get("specifics")?.get(field)?.as_str();
+        let free_slots = FreeSlots::of(meaning("report_x0"), meaning("report_x1"));
+        self.counts(json);
+        let settings = silverproxy_settings::from_value(json)
+            .map_err(|fault| self.bad_once(&fault.key_under("settings"), fault.reason))
+            .ok()?;
+        if let Err(error) = settings.check() {
+            self.bad_once(&format!("settings.{}", error.field), error.reason);
+        }
+        let conn_idle = conn_idle.filter(|idle| *idle > 0).map_or(CONN_IDLE, Duration::from_micros);
+        Some(SettingsKeys { settings, names, conn_idle, free_slots })
+    }
+}
+
+impl SettingsKeys {
+    fn snapshot(self) -> Snapshot {
+        let reports = Reports { via: self.settings.report_via, free_slots: self.free_slots };
+        Snapshot::new(self.settings, self.names, self.conn_idle, reports)
+    }
+}
+
+impl OwnKeys {
+    /// The addresses of the siblings, where messages to them are permitted.
+    fn siblings(&self, settings: &Settings) -> Option<Siblings> {
+        let listen = self.messages.filter(|_| settings.limits.may_message_peers)?;
+        Some(Siblings { listen, each: self.each.clone(), all: self.all })
+    }
+}
+
+/// Parses the document.
+fn parse(source: &str, text: &str) -> Result<Map<String, Value>, ConfigError> {
+    serde_json::from_str(text).map_err(|error| {
+        let at = Some((error.line(), error.column())).filter(|(line, _)| *line > 0);
+        let (source, key) = (source.to_string(), String::new());
+        let what = format!("not a JSON object: {error}");
+        ConfigError(vec![Fault { source, at, key, what, remedy: String::new() }])
+    })
+}
+
+/// Puts flags and environment over the document.
+fn apply(root: &mut Map<String, Value>, flags: &Flags, env: &Environment<'_>) -> Overrides {
     let mut overrides = Overrides::default();
     for (variable, key, flag) in [
         ("BALANCER_NAME", "name", flags.name.clone()),
@@ -117,68 +206,34 @@
             overrides.record(key, by_flag, variable);
         }
     }
+    overrides
+}
+
+/// Checks the document's text; flags and `env` win over the keys that they name.
+pub fn read(source: &str, text: &str, flags: &Flags, env: &Environment<'_>) -> Result<Read, ConfigError> {
+    let mut root = parse(source, text)?;
+    let as_it_stands = Value::Object(root.clone());
+    let overrides = apply(&mut root, flags, env);
     let root = Value::Object(root);
     let mut document = Document { source, faults: Vec::new() };
-    let limits = root.get("limits");
-    let sockets = document.optional(limits, "sockets", "limits.sockets").unwrap_or(SOCKETS);
-    let memory_mb: usize = document.optional(limits, "memory_mb", "limits.memory_mb").unwrap_or(MEMORY_MB);
-    let seed = document
-        .required::<String>(&root, "seed")
-        .and_then(|seed| u64::from_str_radix(&seed, 16).map_err(|error| document.bad("seed", error)).ok());
-    let (name, nowhere) = (document.required(&root, "name"), SocketAddr::from((Ipv4Addr::LOCALHOST, 0)));
-    let listen = document.required(&root, "listen").unwrap_or(nowhere);
-    let discovery = document.required(&root, "discovery").unwrap_or(nowhere);
-    let admin = document.optional(Some(&root), "admin", "admin");
-    let known = document.optional(Some(&root), "known", "known");
-    let messages = document.optional(Some(&root), "peer_listen", "peer_listen");
-    let each = document.optional(Some(&root), "peers", "peers");
-    let all = document.optional(Some(&root), "peers_all", "peers_all");
-
-    let settings_json = root.get("settings").cloned().unwrap_or_default();
-    let idle = settings_json.get("limits");
-    let idle = document.optional(idle, "conn_idle", "settings.limits.conn_idle").filter(|idle| *idle > 0);
-    let names = Names {
-        zones: document.optional(Some(&settings_json), "areas", "settings.areas").unwrap_or_default(),
-        kinds: document.optional(Some(&settings_json), "kinds", "settings.kinds").unwrap_or_default(),
-        classes: document.names_of(&settings_json, "services"),
-        tenants: document.names_of(&settings_json, "accounts"),
-    };
-    let meaning = |field| settings_json.get("specifics")?.get(field)?.as_str();
-    let free_slots = FreeSlots::of(meaning("report_x0"), meaning("report_x1"));
-    document.counts(&settings_json);
-    let settings = match silverproxy_settings::from_value(&settings_json) {
-        Ok(settings) => Some(settings),
-        Err(fault) => {
-            document.bad_once(&fault.key_under("settings"), fault.reason);
-            None
-        }
-    };
-    if let Some(Err(error)) = settings.as_ref().map(Settings::check) {
-        document.bad_once(&format!("settings.{}", error.field), error.reason);
-    }
+    let own = document.own_keys(&root);
+    let settings = document.settings(root.get("settings").unwrap_or(&Value::Null));
     let (Some(settings), true) = (settings, document.faults.is_empty()) else {
         return Err(ConfigError(document.faults));
     };
-    let reports = Reports { via: settings.report_via, free_slots };
-    let name: String = name.unwrap_or_default();
-    let handover = env("TMPDIR").map(|folder| Path::new(&folder).join(handover(&name)));
     let config = Config {
-        name,
-        listen,
-        admin,
         // What the platform keeps between two processes of one scheduler is this folder.
-        handover,
-        source: Source::Service(discovery),
-        sockets,
-        memory: memory_mb.saturating_mul(1 << 20),
-        siblings: messages.filter(|_| settings.limits.may_message_peers).map(|listen| Siblings {
-            listen,
-            each: each.unwrap_or_default(),
-            all,
-        }),
-        known: known.unwrap_or_default(),
-        seed: seed.unwrap_or_default(),
-        snapshot: Snapshot::new(settings, names, idle.map_or(CONN_IDLE, Duration::from_micros), reports),
+        handover: env("TMPDIR").map(|folder| Path::new(&folder).join(handover(&own.name))),
+        siblings: own.siblings(&settings.settings),
+        name: own.name,
+        listen: own.listen,
+        admin: own.admin,
+        source: Source::Service(own.discovery),
+        sockets: own.sockets,
+        memory: own.memory_mb.saturating_mul(1 << 20),
+        known: own.known,
+        seed: own.seed,
+        snapshot: settings.snapshot(),
         document: Some(as_it_stands),
         log: precedence::log(&file::File::default(), flags, env),
     };
