Give the log's writer a module of its own, with its test where git sees it

Besides, logs.rs did two jobs. Change: log_writer.rs has the writer that drops lines rather than block (Lossy is LossyWriter, LONGEST is MAX_LINE), and log_writer/tests.rs its test a_full_pipe_drops_lines_and_counts_them, unchanged but for that name; logs.rs keeps the subscriber.

--- a/crates/vetchbridge/src/lib.rs
+++ b/crates/vetchbridge/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod config;
 pub mod engine;
 pub mod list;
+mod log_writer;
 pub mod logs;
 pub mod operators;
 pub mod peers;
