Name the private limits of the operators' door and the lifecycle by standard terms

Need: LINE_WAIT, LAST_WORDS, LAST_CALL and HANG_UP had to be explained. Change: LINE_TIMEOUT, LINGER_TIMEOUT, ACCEPT_RETRY_DELAY, MAX_CALLERS, MAX_DEADLINE, FINAL_ANSWER_DELAY and CONNECTION_CLOSE_LEAD, with comments in plain terms. Values and behaviour are the same.

--- a/crates/vetchbridge/src/operators/admin.rs
+++ b/crates/vetchbridge/src/operators/admin.rs
@@ -17,23 +17,25 @@
 use tokio::time::timeout;
 use tracing::{debug, info, warn};
 
-/// The longest line, its end included.
+/// Maximum length of a call in bytes, with its line feed.
 pub const LINE_LIMIT: usize = 256;
-/// How long a caller may take for its line. Some hold a connection for 4 s before they say anything whole.
-const LINE_WAIT: Duration = Duration::from_secs(5);
-/// How long an answered caller may go on talking; to close on what is unread would take the answer back.
-const LAST_WORDS: Duration = Duration::from_millis(200);
+/// Time limit for reading a call and for writing its answer. Some callers hold a connection for 4 s before they have
+/// sent a whole line.
+const LINE_TIMEOUT: Duration = Duration::from_secs(5);
+/// How long input is read and dropped after the answer; closing with unread input would reset the connection and lose
+/// the answer.
+const LINGER_TIMEOUT: Duration = Duration::from_millis(200);
 /// Pause after a failed accept.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-/// The most callers at once.
-const CALLERS: usize = 16;
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+/// Maximum number of callers at once.
+const MAX_CALLERS: usize = 16;
 
 /// What can be asked.
 const CALLS: &str = "health, quiesce or resume";
 
 /// How many callers there may be at once where a process may hold so many descriptors.
 pub fn callers(sockets: usize) -> usize {
-    (sockets / 16).clamp(2, CALLERS)
+    (sockets / 16).clamp(2, MAX_CALLERS)
 }
 
 /// The answer to one line, without its end.
@@ -85,7 +87,7 @@
 }
 
 async fn caller(mut stream: TcpStream, life: Arc<Life>, kin: Arc<Kin>, spoke: Arc<AtomicBool>) {
-    let words = match timeout(LINE_WAIT, line(&mut stream, &spoke)).await {
+    let words = match timeout(LINE_TIMEOUT, line(&mut stream, &spoke)).await {
         Ok(Ok(line)) => {
             let words = answer(&line, &life, &kin);
             info!(call = %String::from_utf8_lossy(&line).trim_end(), answer = words, "admin.called");
@@ -94,7 +96,7 @@
         Ok(Err(words)) => words.to_string(),
         Err(_) => "fail no whole line came in time".to_string(),
     };
-    let said = timeout(LINE_WAIT, async {
+    let said = timeout(LINE_TIMEOUT, async {
         stream.write_all(format!("{words}\n").as_bytes()).await?;
         stream.shutdown().await
     });
@@ -102,7 +104,7 @@
         return debug!(words, "admin.unheard");
     }
     let rest = async { while stream.read(&mut [0; LINE_LIMIT]).await.is_ok_and(|read| read > 0) {} };
-    let _ = timeout(LAST_WORDS, rest).await;
+    let _ = timeout(LINGER_TIMEOUT, rest).await;
 }
 
 /// Answers callers until the program ends, at most so many at once.
@@ -113,7 +115,7 @@
             Ok((stream, _)) => stream,
             Err(error) => {
                 warn!(%error, "admin.accept.failed");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
+                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
                 continue;
             }
         };
--- a/crates/vetchbridge/src/operators/lifecycle.rs
+++ b/crates/vetchbridge/src/operators/lifecycle.rs
@@ -9,11 +9,11 @@
 /// Once clients are sent away, idle connections are left to them for this long: the front may still deal them out.
 pub const LET_IDLE: Duration = Duration::from_millis(500);
 /// SIGKILL comes no sooner after SIGTERM than the longest deadline, which counts as no more than this, and 0.7 s more.
-const LONGEST_DEADLINE: Duration = Duration::from_secs(3);
-/// So long after that deadline what is still open gets its final answer: what SIGKILL finds unanswered is lost.
-const LAST_CALL: Duration = Duration::from_millis(300);
-/// So long before that no connection is kept any more, and what is taken by then has the rest of the time.
-const HANG_UP: Duration = Duration::from_secs(1);
+const MAX_DEADLINE: Duration = Duration::from_secs(3);
+/// Time after that deadline at which open requests get their final answer, since SIGKILL would lose them.
+const FINAL_ANSWER_DELAY: Duration = Duration::from_millis(300);
+/// Time before the final answers at which connections stop being kept; what was taken by then has the rest.
+const CONNECTION_CLOSE_LEAD: Duration = Duration::from_secs(1);
 
 /// How far a process is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -102,13 +102,18 @@
     /// Operators want clients sent away, from before it can serve on.
     quiesced: bool,
     /// From being told to end to the final answer of what is still open.
-    last_call: Duration,
+    final_answers_after: Duration,
 }
 
 impl Lifecycle {
     /// A process that has just started; `quiesced`: it begins with its clients sent away.
     pub fn new(quiesced: bool) -> Lifecycle {
-        Lifecycle { state: State::Starting, since: Duration::ZERO, quiesced, last_call: Duration::ZERO }
+        Lifecycle {
+            state: State::Starting,
+            since: Duration::ZERO,
+            quiesced,
+            final_answers_after: Duration::ZERO,
+        }
     }
 
     /// The state.
@@ -155,7 +160,7 @@
     pub fn terminate(&mut self, now: Duration, deadline: Duration) {
         if !matches!(self.state, State::Ending(_)) {
             (self.state, self.since) = (State::Ending(End::Draining), now);
-            self.last_call = deadline.min(LONGEST_DEADLINE) + LAST_CALL;
+            self.final_answers_after = deadline.min(MAX_DEADLINE) + FINAL_ANSWER_DELAY;
         }
     }
 
@@ -167,8 +172,10 @@
     pub fn wakes(&self) -> Option<Duration> {
         match self.state {
             State::Draining => Some(self.since + LET_IDLE),
-            State::Ending(End::Draining) => Some(self.since + self.last_call.saturating_sub(HANG_UP)),
-            State::Ending(End::Drained) => Some(self.since + self.last_call),
+            State::Ending(End::Draining) => {
+                Some(self.since + self.final_answers_after.saturating_sub(CONNECTION_CLOSE_LEAD))
+            }
+            State::Ending(End::Drained) => Some(self.since + self.final_answers_after),
             State::Starting | State::Serving | State::Drained | State::Ending(End::Leaving) => None,
         }
     }
