Cut the handed-over list into messages by its bytes, and test with 1,200 workers

Cause: a predecessor wrote 100 entries into a message (ENTRIES in upgrade/words.rs), however long they were, and the receiver's buffer holds 160 KiB (LONGEST). With 1,200 workers whose names have 2,000 characters the first message was 207 KiB: the successor logged "upgrade.broke.off reason=it broke off", took nobody for its predecessor, waited 5 s for the address and ended with "Address already in use". The number of workers alone never failed it: with names of usual length 1,200 were handed over before. Change: entries share a message up to 32 KiB, a longer one has its own. One beyond 160 KiB is left out, and the offer then names no version, so that the successor asks discovery for the whole list. The words and their version are unchanged. tests/large_fleet.rs runs the daemon with 1,200 workers (an address each), 1,200 schedulers and their addresses: start, jobs at both ends of the list, hand-over, restart; lists from discovery indented in pieces and with long names; `check` of both forms.

--- a/crates/vetchbridge/src/upgrade/mod.rs
+++ b/crates/vetchbridge/src/upgrade/mod.rs
@@ -28,7 +28,7 @@
 use tokio::time::{sleep, timeout};
 use tracing::{debug, info, warn};
 use wire::{Door, Wire};
-use words::{Offer, Word, ENTRIES, LONGEST, VERSION};
+use words::{in_messages, Offer, Word, LONGEST, VERSION};
 
 /// How long a predecessor may take over its whole offer. A new process has 6 s in all.
 const OFFERED_WITHIN: Duration = Duration::from_secs(3);
@@ -214,17 +214,21 @@
                 let roster = self.roster.lock().unwrap_or_else(PoisonError::into_inner);
                 (roster.whole(), roster.source())
             };
+            let listed = instances.len();
+            let messages = in_messages(instances);
+            // A successor that can't be given all of the list asks for it as a whole.
+            let whole = messages.iter().map(Vec::len).sum::<usize>() == listed;
             let offer = Word::Offer(Offer {
                 quiesced: self.life.quiesced(),
                 source,
-                generation,
+                generation: generation.filter(|_| whole),
                 connections: self.front.connections(),
             });
             let mut descriptors = vec![self.listener.as_fd()];
             descriptors.extend(self.siblings.as_ref().map(AsFd::as_fd));
             wire.send(&offer.write(), &descriptors).await?;
-            for entries in instances.chunks(ENTRIES).chain([&[][..]]) {
-                wire.send(&Word::Entries(entries.to_vec()).write(), &[]).await?;
+            for entries in messages.into_iter().chain([Vec::new()]) {
+                wire.send(&Word::Entries(entries).write(), &[]).await?;
             }
             io::Result::Ok(())
         };
--- a/crates/vetchbridge/src/upgrade/words.rs
+++ b/crates/vetchbridge/src/upgrade/words.rs
@@ -12,8 +12,8 @@
 pub const VERSION: u32 = 1;
 /// The longest message; a callback's body of 64 KiB fits, written as JSON.
 pub const LONGEST: usize = 160 * 1024;
-/// Entries of the list in one message.
-pub const ENTRIES: usize = 100;
+/// Entries of the list share a message up to this length; a longer entry has one of its own.
+const SHARED: usize = 32 * 1024;
 
 /// One word.
 #[derive(Debug, Serialize, Deserialize)]
@@ -88,6 +88,29 @@
     }
 }
 
+/// Splits a list into what one [`Word::Entries`] each brings. An entry that no message can hold is left out.
+pub fn in_messages(instances: Vec<Instance>) -> Vec<Vec<Instance>> {
+    let frame = Word::Entries(Vec::new()).write().len();
+    let mut messages: Vec<Vec<Instance>> = Vec::new();
+    let mut room = 0;
+    for instance in instances {
+        // With the comma before the next one.
+        let length = serde_json::to_vec(&instance).map_or(LONGEST, |entry| entry.len()) + 1;
+        if frame + length > LONGEST {
+            continue;
+        }
+        match messages.last_mut() {
+            Some(message) if length <= room => message.push(instance),
+            _ => {
+                messages.push(vec![instance]);
+                room = SHARED - frame;
+            }
+        }
+        room = room.saturating_sub(length);
+    }
+    messages
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- /dev/null
+++ b/crates/vetchbridge/tests/large_fleet.rs
@@ -0,0 +1,413 @@
+//! A scheduler of a large deployment: 1,200 workers in its list and 1,200 schedulers beside it. It starts, serves, is
+//! handed over and restarts with all of them, also with fewer descriptors than workers.
+//!
+//! Each worker has a loopback address of its own (127.1.0.0 and on) behind one listener, which tells the workers apart by
+//! the address that was dialled.
+#![allow(missing_docs)]
+
+mod common;
+
+use common::*;
+use platform::wire::Wire;
+use rstest::rstest;
+use serde_json::{json, Value};
+use silverproxy::words::Word as SiblingWord;
+use std::collections::BTreeSet;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
+use tokio::time::sleep;
+use vetchbridge::list::listing::Instance;
+use vetchbridge::upgrade::words::{in_messages, Word, LONGEST};
+
+const WORKERS: usize = 1200;
+const SCHEDULERS: usize = 1200;
+/// The siblings share so many sockets.
+const SIBLING_SOCKETS: usize = 12;
+/// The version of the list.
+const GENERATION: u32 = 70;
+/// A name as long as this makes a hundred entries longer than one message of the hand-over.
+const LONG_NAME: usize = 2000;
+/// So much of a list is written at once where it comes in pieces.
+const PIECE: usize = 1024;
+
+/// Where the scheduler under test listens now; a restart changes it.
+type Target = Arc<Mutex<Option<SocketAddr>>>;
+
+fn scheduler(target: &Target) -> SocketAddr {
+    target.lock().unwrap_or_else(PoisonError::into_inner).expect("a scheduler runs")
+}
+
+/// A worker's name; the numbers of two workers sort as their names do.
+fn worker_name(number: usize, length: usize) -> String {
+    format!("w-{number:04}-{}", "x".repeat(length))
+}
+
+fn worker_address(number: usize, port: u16) -> SocketAddr {
+    let address = Ipv4Addr::from_bits(Ipv4Addr::new(127, 1, 0, 0).to_bits() + number as u32);
+    SocketAddr::new(IpAddr::V4(address), port)
+}
+
+fn worker_number(address: SocketAddr) -> usize {
+    let IpAddr::V4(address) = address.ip() else { panic!("{address} is none of the workers'") };
+    (address.to_bits() - Ipv4Addr::new(127, 1, 0, 0).to_bits()) as usize
+}
+
+/// All workers: each takes every job at once and keeps the connection. The result of a job is its worker's number.
+async fn run_workers(listener: TcpListener, name_length: usize, target: Target) {
+    loop {
+        let (stream, _) = listener.accept().await.expect("a connection");
+        tokio::spawn(run_worker(stream, name_length, target.clone()));
+    }
+}
+
+async fn run_worker(stream: TcpStream, name_length: usize, target: Target) {
+    let number = worker_number(stream.local_addr().expect("connected"));
+    let mut wire = Wire::new(stream);
+    while let Some(job) = wire.read().await {
+        let id = job.header("x-trace-id").expect("a job has an id").to_string();
+        wire.send(ACCEPTED).await;
+        let callback = json!({"id": id, "from": worker_name(number, name_length), "state": "done",
+                              "result": number.to_string()});
+        let mut back = dial(scheduler(&target)).await;
+        back.hand_in("/callback", "", &callback.to_string()).await;
+        assert_eq!(status(&back.read().await), "200");
+    }
+}
+
+/// How discovery writes its list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Form {
+    Compact,
+    IndentedInPieces,
+}
+
+/// Discovery: answers a call for the whole list with `list`, and a watch, after its wait, with no changes. Each call's target is
+/// passed on.
+async fn run_discovery(listener: TcpListener, list: Value, form: Form, calls: UnboundedSender<String>) {
+    let list = Arc::new(list);
+    loop {
+        let (stream, _) = listener.accept().await.expect("a connection");
+        tokio::spawn(answer_calls(Wire::new(stream), list.clone(), form, calls.clone()));
+    }
+}
+
+async fn answer_calls(mut wire: Wire, list: Arc<Value>, form: Form, calls: UnboundedSender<String>) {
+    while let Some(call) = wire.read().await {
+        let target = call.target().to_string();
+        let wait = target.split("wait=").nth(1).map_or(0, |wait| wait.parse().expect("milliseconds"));
+        let watches = target.contains(&format!("index={GENERATION}&"));
+        // Nobody listens any more once the story has heard what it needs.
+        let _ = calls.send(target);
+        if watches {
+            sleep(Duration::from_millis(wait)).await;
+        }
+        let no_changes = json!({"generation": GENERATION, "reset": false, "instances": []});
+        let answer = if watches { &no_changes } else { &*list };
+        let written = match form {
+            Form::Compact => wire.answer(200, "", &answer.to_string()).await,
+            Form::IndentedInPieces => write_in_pieces(&mut wire, &format!("{answer:#}")).await,
+        };
+        if written.is_err() {
+            return;
+        }
+    }
+}
+
+async fn write_in_pieces(wire: &mut Wire, body: &str) -> std::io::Result<()> {
+    wire.write(&format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", body.len())).await?;
+    for piece in body.as_bytes().chunks(PIECE) {
+        wire.write(std::str::from_utf8(piece).expect("ASCII")).await?;
+        // The daemon is to have the chance to read it alone.
+        tokio::task::yield_now().await;
+    }
+    Ok(())
+}
+
+/// The siblings behind one socket: whoever is asked for a worker's load says that it has none. Each datagram is told by the
+/// number of its socket.
+async fn run_siblings(number: usize, socket: UdpSocket, heard: UnboundedSender<usize>) {
+    let mut buffer = [0; 256];
+    loop {
+        let (length, sender) = socket.recv_from(&mut buffer).await.expect("a datagram");
+        // Nobody listens any more once the story has heard what it needs.
+        let _ = heard.send(number);
+        if let Some((SiblingWord::Ask(_), worker)) = SiblingWord::read(&buffer[..length]) {
+            let report = SiblingWord::Report(Some((0.0, 0))).write(worker);
+            socket.send_to(&report, sender).await.expect("sent");
+        }
+    }
+}
+
+/// The workers, the siblings and discovery around one scheduler.
+struct Fleet {
+    folder: tempfile::TempDir,
+    /// The scheduler's configuration, without a list of workers.
+    config: Value,
+    /// The whole list.
+    list: Value,
+    target: Target,
+    /// The targets of the calls that discovery got.
+    calls: UnboundedReceiver<String>,
+    /// The numbers of the sockets that siblings got datagrams at.
+    datagrams: UnboundedReceiver<usize>,
+    jobs: u64,
+}
+
+impl Fleet {
+    /// Names of workers are longer than this; discovery writes its list so.
+    async fn set(name_length: usize, form: Form) -> Fleet {
+        let workers = TcpListener::bind("0.0.0.0:0").await.expect("a port");
+        let port = workers.local_addr().expect("bound").port();
+        let instances: Vec<Value> = (0..WORKERS)
+            .map(|number| {
+                let mut entry = instance(number, worker_address(number, port), "up");
+                entry["instanceId"] = worker_name(number, name_length).into();
+                entry
+            })
+            .collect();
+        let list = json!({"generation": GENERATION, "reset": true, "instances": instances});
+        let discovery = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let (heard, datagrams) = unbounded_channel();
+        let mut siblings = Vec::new();
+        for number in 0..SIBLING_SOCKETS {
+            let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a port");
+            siblings.push(socket.local_addr().expect("bound"));
+            tokio::spawn(run_siblings(number, socket, heard.clone()));
+        }
+        let config = large_config(discovery.local_addr().expect("bound"), &siblings);
+        let (target, (called, calls)) = (Target::default(), unbounded_channel());
+        tokio::spawn(run_workers(workers, name_length, target.clone()));
+        tokio::spawn(run_discovery(discovery, list.clone(), form, called));
+        let folder = tempfile::tempdir().expect("a folder");
+        Fleet { folder, config, list, target, calls, datagrams, jobs: 0 }
+    }
+
+    /// Starts the scheduler with this list of workers as last held.
+    fn start(&mut self, known: &Value) -> Process {
+        let mut config = self.config.clone();
+        config["known"] = known.clone();
+        let process = Process::start(&config, self.folder.path());
+        self.config["listen"] = process.address.to_string().into();
+        *self.target.lock().unwrap_or_else(PoisonError::into_inner) = Some(process.address);
+        process
+    }
+
+    /// Starts it with the whole list.
+    fn start_with_list(&mut self) -> Process {
+        self.start(&self.list.clone())
+    }
+
+    /// Starts it without a list.
+    fn start_without_list(&mut self) -> Process {
+        self.start(&json!({"generation": 1, "reset": true, "instances": []}))
+    }
+
+    /// Hands in so many jobs of different keys, one after the other on one connection, and has each of them served; the workers
+    /// that did.
+    async fn serve(&mut self, jobs: usize) -> BTreeSet<usize> {
+        let mut client = dial(scheduler(&self.target)).await;
+        let mut workers = BTreeSet::new();
+        for _ in 0..jobs {
+            self.jobs += 1;
+            let headers = format!("X-Trace-Id: {:016x}\r\nX-Qos: safe\r\n", self.jobs);
+            client.hand_in(&format!("/safe/key-{}", self.jobs), &headers, "work").await;
+            let answer = client.read().await.expect("an answer");
+            assert_eq!(answer.status(), "200", "job {} after {} workers", self.jobs, workers.len());
+            workers.insert(answer.text().parse().expect("a worker's number"));
+        }
+        workers
+    }
+
+    /// Serves jobs, and shows that the scheduler has the whole list, its end included.
+    async fn serve_at_the_whole_list(&mut self) {
+        let workers = self.serve(100).await;
+        assert!(workers.len() > 80, "100 keys are spread over the list: {workers:?}");
+        assert!(workers.first() < Some(&(WORKERS / 12)), "its start is reached: {workers:?}");
+        assert!(workers.last() >= Some(&(WORKERS - WORKERS / 12)), "its end is reached: {workers:?}");
+    }
+
+    /// The next call that discovery gets.
+    async fn next_call(&mut self) -> String {
+        self.calls.recv().await.expect("discovery runs")
+    }
+}
+
+/// The last of 1,200 schedulers, which may send one another datagrams; `siblings` are the others' sockets.
+fn large_config(discovery: SocketAddr, siblings: &[SocketAddr]) -> Value {
+    let reserved = std::net::UdpSocket::bind("127.0.0.1:0").expect("a port");
+    let own = reserved.local_addr().expect("bound");
+    let per_socket = SCHEDULERS / siblings.len();
+    let mut each: Vec<String> = (0..SCHEDULERS).map(|n| siblings[n / per_socket].to_string()).collect();
+    each[SCHEDULERS - 1] = own.to_string();
+    let mut config = config(discovery, json!([]));
+    config["limits"]["sockets"] = 1024.into();
+    config["peer_listen"] = own.to_string().into();
+    config["peers"] = json!(each);
+    config["settings"]["me"] = (SCHEDULERS - 1).into();
+    config["settings"]["balancers"] = SCHEDULERS.into();
+    config["settings"]["limits"]["peers"] = true.into();
+    config
+}
+
+/// Waits until clients are sent to the scheduler.
+async fn until_ready(process: &Process) {
+    loop {
+        let mut front = dial(process.address).await;
+        front.send("GET /health/ready HTTP/1.1\r\nhost: x\r\n\r\n").await;
+        if status(&front.read().await) == "200" {
+            return;
+        }
+    }
+}
+
+/// It starts with the list as last held, serves, hands all of it over to a successor, which goes on with its version, and starts
+/// again.
+#[rstest]
+#[case::names_of_usual_length(8)]
+#[case::long_names(LONG_NAME)]
+#[timeout(HANG)]
+#[tokio::test]
+async fn it_starts_serves_is_handed_over_and_restarts(#[case] name_length: usize) {
+    let mut fleet = Fleet::set(name_length, Form::Compact).await;
+    let mut first = fleet.start_with_list();
+    until_ready(&first).await;
+    fleet.serve_at_the_whole_list().await;
+    // The list's version is handed over once it has been heard from discovery itself.
+    while !fleet.next_call().await.contains(&format!("index={GENERATION}&")) {}
+
+    let mut successor = fleet.start_without_list();
+    assert_eq!(successor.operate("health").await, "ok serving\n");
+    first.signal("-TERM");
+    assert!(first.child.wait().expect("it ends").success());
+    until_ready(&successor).await;
+    fleet.serve_at_the_whole_list().await;
+    fleet.calls.close();
+    while let Some(call) = fleet.calls.recv().await {
+        assert!(
+            call.contains(&format!("index={GENERATION}&")),
+            "nobody asks for the whole list again: {call}"
+        );
+    }
+
+    successor.signal("-TERM");
+    assert!(successor.child.wait().expect("it ends").success());
+    let restarted = fleet.start_with_list();
+    until_ready(&restarted).await;
+    fleet.serve_at_the_whole_list().await;
+    fleet.datagrams.close();
+    let mut asked = BTreeSet::new();
+    while let Some(socket) = fleet.datagrams.recv().await {
+        asked.insert(socket);
+    }
+    assert_eq!(
+        asked.len(),
+        SIBLING_SOCKETS,
+        "schedulers of all numbers keep account of some worker: {asked:?}"
+    );
+}
+
+/// A list of 1,200 workers is heard from discovery, however it is written.
+#[rstest]
+#[case::indented_in_pieces(8, Form::IndentedInPieces)]
+#[case::long_names(LONG_NAME, Form::Compact)]
+#[timeout(HANG)]
+#[tokio::test]
+async fn a_large_list_is_heard_from_discovery(#[case] name_length: usize, #[case] form: Form) {
+    let mut fleet = Fleet::set(name_length, form).await;
+    // Alone it calls at once; of many schedulers each waits for its turn.
+    fleet.config["settings"]["me"] = 0.into();
+    fleet.config["settings"]["balancers"] = 1.into();
+    let process = fleet.start_without_list();
+    until_ready(&process).await;
+    fleet.serve_at_the_whole_list().await;
+}
+
+/// An entry that no message of the hand-over can hold costs the successor no worker: it asks for the whole list.
+#[rstest]
+#[timeout(HANG)]
+#[tokio::test]
+async fn a_list_that_can_not_be_handed_over_is_asked_for() {
+    let mut fleet = Fleet::set(8, Form::Compact).await;
+    let mut known = fleet.list.clone();
+    known["instances"][0]["zone"] = "z".repeat(LONGEST).into();
+    let first = fleet.start(&known);
+    until_ready(&first).await;
+    while !fleet.next_call().await.contains(&format!("index={GENERATION}&")) {}
+    let successor = fleet.start_without_list();
+    assert_eq!(successor.operate("health").await, "ok serving\n");
+    while fleet.next_call().await != "/registry/instances" {}
+    fleet.serve_at_the_whole_list().await;
+}
+
+/// Entries of all lengths share messages of the hand-over; none is longer than a message may be, and none is lost.
+#[rstest]
+#[timeout(HANG)]
+#[test]
+fn every_entry_that_fits_a_message_is_in_one() {
+    let entry = |length: usize| -> Instance {
+        let mut entry = instance(0, worker_address(0, 1), "up");
+        entry["instanceId"] = "\"".repeat(length).into();
+        serde_json::from_value(entry).expect("an entry")
+    };
+    // Quotes are written as two characters each.
+    let lengths =
+        (0..WORKERS).map(|number| if number % 100 == 0 { LONGEST / 2 - 200 } else { number % 97 * 11 });
+    let entries: Vec<Instance> = lengths.map(entry).collect();
+    let names =
+        |entries: &[Instance]| entries.iter().map(|entry| entry.instance_id.clone()).collect::<Vec<_>>();
+    let messages = in_messages(entries.clone());
+    assert_eq!(names(&messages.concat()), names(&entries));
+    for message in messages {
+        assert!(!message.is_empty(), "an empty one ends the list");
+        let length = Word::Entries(message).write().len();
+        assert!(length <= LONGEST, "{length}");
+    }
+    assert_eq!(
+        names(&in_messages(vec![entry(1), entry(LONGEST / 2), entry(2)]).concat()),
+        names(&[entry(1), entry(2)])
+    );
+}
+
+fn check(name: &str, text: &str) {
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{}-{name}", std::process::id()));
+    std::fs::write(&path, text).expect("written");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_vetchbridge"));
+    command.arg("check").arg(&path).env_clear().stdout(Stdio::piped()).stderr(Stdio::piped());
+    let started = {
+        let _alone = alone();
+        command.spawn()
+    };
+    let checked = started.and_then(Child::wait_with_output).expect("it runs");
+    assert!(checked.status.success(), "{}", String::from_utf8_lossy(&checked.stderr));
+    let said = String::from_utf8(checked.stdout).expect("text");
+    assert!(said.contains(&worker_name(WORKERS - 1, 8)), "the last worker is named");
+}
+
+/// `vetchbridge check` accepts both forms of a configuration of this size.
+#[rstest]
+#[timeout(HANG)]
+#[tokio::test]
+async fn its_configuration_is_accepted() {
+    let fleet = Fleet::set(8, Form::Compact).await;
+    let mut document = fleet.config.clone();
+    document["known"] = fleet.list.clone();
+    check("large.json", &document.to_string());
+
+    let each: Vec<String> = (0..SCHEDULERS).map(|n| worker_address(n, 7000).to_string()).collect();
+    let mut file = format!(
+        "name = \"n0\"\nlisten = \"127.0.0.1:0\"\nseed = \"1\"\n\
+         [tier]\nme = {}\nschedulers = {SCHEDULERS}\nmessages = \"127.0.0.1:7000\"\neach = {each:?}\n\
+         [[class]]\nname = \"safe\"\nrepeat = \"safe\"\naim = \"1s\"\ndeadline = \"2s\"\n",
+        SCHEDULERS - 1
+    );
+    for number in 0..WORKERS {
+        let (name, address) = (worker_name(number, 8), worker_address(number, 8000));
+        file.push_str(&format!("[[peer]]\nname = \"{name}\"\naddress = \"{address}\"\n"));
+    }
+    check("large.toml", &file);
+}
