Close idle connections of the least recently used peers beyond a quarter of the descriptors

Cause: each peer keeps up to 8 idle connections for half of conn_idle (30 s), and nothing bounded them together. With 1,200 peers and limits.sockets 256 the idle ones took every descriptor: after 236 peers "accept.failed error=Too many open files" came every 20 ms, and the next job waited until kept connections expired (400 jobs one after the other took 31 s) or had 503 at a deadline of 5 s. The budget of client connections yields to peers down to a quarter, so that nothing else could make room. Change: peers/client.rs takes the client of one peer out of peers/mod.rs and counts its connections; UpstreamGroup::make_room closes idle ones beyond a quarter of limits.sockets (connections::kept_to_peers), those of the least recently used peers first, before an attempt or a probe dials. A connection in use goes on to its end.

--- a/crates/vetchbridge/src/clients/connections.rs
+++ b/crates/vetchbridge/src/clients/connections.rs
@@ -17,6 +17,13 @@
 const SPARE: usize = 8;
 /// Clients have this share of the limit whatever the peers hold.
 const AT_LEAST: usize = 4;
+/// Connections to peers beyond this share of the limit are not kept when they are idle.
+const KEPT: usize = 4;
+
+/// How many connections to peers a process that may hold so many descriptors has before it closes idle ones.
+pub fn kept_to_peers(limit: usize) -> usize {
+    limit / KEPT
+}
 
 /// What other processes of this scheduler hold of the same budget.
 #[derive(Clone, Copy, Debug, Default)]
--- a/crates/vetchbridge/src/clients/front.rs
+++ b/crates/vetchbridge/src/clients/front.rs
@@ -5,7 +5,7 @@
 //! is in doubt.
 
 use super::connection::{ClientConnection, Watched};
-use super::connections::{ClientConnections, Elsewhere, Place};
+use super::connections::{kept_to_peers, ClientConnections, Elsewhere, Place};
 use super::framing::HEAD_LIMIT;
 use super::{body, job};
 use crate::engine::Engine;
@@ -74,6 +74,7 @@
         kin: Arc<Kin>,
     ) -> Arc<Front> {
         let (adopted, adoptions) = unbounded_channel();
+        upstream.limit_connections(kept_to_peers(sockets));
         let connections = ClientConnections::new(sockets, admin::callers(sockets), upstream.connections());
         Arc::new(Front {
             engine,
--- a/crates/vetchbridge/src/peers/dial.rs
+++ b/crates/vetchbridge/src/peers/dial.rs
@@ -100,14 +100,14 @@
     }
 }
 
-/// Dials peers; its connections carry a [`Meter`] and are counted from the dial on.
+/// Dials peers; its connections carry a [`Meter`] and are counted from the dial on, among all and among those of one peer.
 #[derive(Clone)]
-pub(super) struct Dialer(HttpConnector, Count);
+pub(super) struct Dialer(HttpConnector, [Count; 2]);
 
 impl Dialer {
     /// One whose connections are counted there.
-    pub(super) fn new(tcp: HttpConnector, count: Count) -> Dialer {
-        Dialer(tcp, count)
+    pub(super) fn new(tcp: HttpConnector, counts: [Count; 2]) -> Dialer {
+        Dialer(tcp, counts)
     }
 }
 
@@ -116,7 +116,7 @@
     io: TokioIo<TcpStream>,
     meter: Meter,
     rest: Option<Pin<Box<Sleep>>>,
-    _counted: Counted,
+    _counted: [Counted; 2],
 }
 
 impl Metered {
@@ -160,7 +160,7 @@
     }
 
     fn call(&mut self, uri: Uri) -> Self::Future {
-        let (dial, counted) = (self.0.call(uri), self.1.one());
+        let (dial, counted) = (self.0.call(uri), self.1.each_ref().map(Count::one));
         Box::pin(async move {
             Ok(Metered { io: dial.await?, meter: Meter::default(), rest: None, _counted: counted })
         })
--- a/crates/vetchbridge/src/peers/exchange.rs
+++ b/crates/vetchbridge/src/peers/exchange.rs
@@ -158,7 +158,7 @@
         }
         let length = written_length(&request);
         let connection = capture_connection(&mut request);
-        let client = lock(&self.client).clone();
+        let client = lock(&self.client).for_request();
         let (name, seen) = (self.name.clone(), Seen { connection: connection.clone(), length });
         let answer = async move {
             let (mut in_hand, mut may_begin) = (InHand(None), Some(may_begin));
--- a/crates/vetchbridge/src/peers/mod.rs
+++ b/crates/vetchbridge/src/peers/mod.rs
@@ -7,6 +7,7 @@
 //! connection.
 
 mod callbacks;
+mod client;
 mod dial;
 mod exchange;
 pub mod load;
@@ -17,26 +18,21 @@
 
 use bytes::Bytes;
 use callbacks::Callbacks;
-use dial::{Dialer, REST};
+use client::PeerClient;
+use dial::REST;
 use exchange::{Broken, Exchange};
-use http_body_util::Full;
 use hyper::http::uri::{Authority, PathAndQuery};
 use hyper::{Method, StatusCode};
-use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::client::legacy::Client;
-use hyper_util::rt::{TokioExecutor, TokioTimer};
 use load::Reports;
 use silverproxy::interface::{ListKind, LoadReport, MemberState, Note, RequestId, Status, WorkerId};
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::sync::{oneshot, watch, Semaphore};
 use tokio::time::Instant;
 use tracing::{debug, warn};
 
-/// Idle connections kept for one peer; a job holds one only until its 202.
-const IDLE_PER_PEER: usize = 8;
 /// How long a peer may take to answer 202 where the settings put no limit on a dial.
 const TAKEN_WITHIN: Duration = Duration::from_secs(1);
 /// How long a probe may take, dial included. A peer that has let one wait in its queue for 500 ms turns it away; what it
@@ -83,8 +79,6 @@
     hex.then(|| u64::from_str_radix(text, 16).ok().map(RequestId)).flatten()
 }
 
-type PeerClient = Client<Dialer, Full<Bytes>>;
-
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
@@ -107,6 +101,8 @@
     /// Probes that may still go out: each may hold a descriptor.
     probes: Semaphore,
     connections: Count,
+    /// With more connections than this, idle ones are closed.
+    most_connections: AtomicUsize,
 }
 
 /// How long things may take.
@@ -142,6 +138,7 @@
             reports: Mutex::default(),
             probes,
             connections: Count::default(),
+            most_connections: AtomicUsize::new(usize::MAX),
         }
     }
 
@@ -155,6 +152,33 @@
         self.connections.clone()
     }
 
+    /// From now on, idle connections make room for others where there are more than this; without limit until this is
+    /// called.
+    pub fn limit_connections(&self, most: usize) {
+        self.most_connections.store(most, Ordering::Relaxed);
+    }
+
+    /// Closes idle connections beyond the limit, those of the least recently used peers first. One in use goes on to its end.
+    fn make_room(&self) {
+        let most = self.most_connections.load(Ordering::Relaxed);
+        if self.connections.get() <= most {
+            return;
+        }
+        let peers = lock(&self.peers);
+        let mut clients: Vec<_> = peers.values().map(|peer| lock(&peer.client)).collect();
+        clients.retain(|client| client.connections() > 0);
+        clients.sort_by_key(|client| client.last_used());
+        let held: usize = clients.iter().map(|client| client.connections()).sum();
+        let mut over = held.saturating_sub(most);
+        for client in &mut clients {
+            if over == 0 {
+                break;
+            }
+            over = over.saturating_sub(client.connections());
+            **client = self.client();
+        }
+    }
+
     /// Other times hold from now on, for every peer; attempts that are out keep theirs.
     pub fn retime(&self, dial_timeout: Duration, conn_idle: Duration) {
         let times = Times::new(dial_timeout, conn_idle);
@@ -231,17 +255,7 @@
     }
 
     fn client(&self) -> PeerClient {
-        let mut tcp = HttpConnector::new();
-        tcp.set_nodelay(true);
-        let times = *lock(&self.times);
-        tcp.set_connect_timeout(Some(times.dial).filter(|t| !t.is_zero()));
-        Client::builder(TokioExecutor::new())
-            // A resend that the module does not know of would be a second attempt.
-            .retry_canceled_requests(false)
-            .pool_idle_timeout(times.idle)
-            .pool_max_idle_per_host(IDLE_PER_PEER)
-            .pool_timer(TokioTimer::new())
-            .build(Dialer::new(tcp, self.connections.clone()))
+        PeerClient::new(*lock(&self.times), self.connections.clone())
     }
 
     /// One probe, over the connections that the peer's attempts use; how it ended, and the load report that came along.
@@ -264,6 +278,7 @@
         });
         let Exchange { seen, answer } =
             peer.exchange(Method::GET, &PathAndQuery::from_static("/stats"), None, may_begin);
+        self.make_room();
         let whole = async {
             let mut reply = answer.await?;
             let body = reply.body().await;
@@ -330,6 +345,7 @@
         });
         let Exchange { seen, mut answer } =
             peer.exchange(Method::POST, &parcel.target, Some((parcel, wait)), may_begin);
+        self.make_room();
         let (mut unwritten, mut accepted) = (true, false);
         // A peer takes a job at once or not at all: one that stays silent must not hold it to its deadline.
         let mut connection = seen.connection.clone();
--- a/crates/vetchbridge/tests/large_fleet.rs
+++ b/crates/vetchbridge/tests/large_fleet.rs
@@ -11,6 +11,7 @@
 use platform::wire::Wire;
 use rstest::rstest;
 use serde_json::{json, Value};
+use silverproxy::interface::{ListKind, MemberState};
 use silverproxy::words::Word as SiblingWord;
 use std::collections::BTreeSet;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
@@ -20,8 +21,12 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
+use tokio::sync::oneshot;
 use tokio::time::sleep;
 use vetchbridge::list::listing::Instance;
+use vetchbridge::peers::{
+    request_id, worker_id, Callback, CallbackState, Ended, Parcel, Terms, UpstreamGroup,
+};
 use vetchbridge::upgrade::words::{in_messages, Word, LONGEST};
 
 const WORKERS: usize = 1200;
@@ -327,6 +332,74 @@
     fleet.serve_at_the_whole_list().await;
 }
 
+/// Connections to workers are kept for the next job, but fewer than there are descriptors: a dial to one worker more never fails
+/// for want of one, nor does a callback or a client.
+#[rstest]
+#[timeout(HANG)]
+#[tokio::test]
+async fn fewer_descriptors_than_workers_serve_them_all() {
+    let mut fleet = Fleet::set(8, Form::Compact).await;
+    fleet.config["limits"]["sockets"] = 256.into();
+    // A job whose dial fails is not mended by another attempt, nor by a wait until kept connections have expired.
+    fleet.config["settings"]["services"][0]["deadline"] = 5_000_000.into();
+    fleet.config["settings"]["limits"]["max_attempts"] = 1.into();
+    let process = fleet.start_with_list();
+    until_ready(&process).await;
+    let workers = fleet.serve(400).await;
+    assert!(workers.len() > 300, "only {} workers were tried", workers.len());
+}
+
+/// A worker's part in an attempt there: it takes the job on its connection, accepted now if it has none yet.
+async fn take_job(
+    number: usize,
+    listener: &TcpListener,
+    wire: &mut Option<Wire>,
+    group: &UpstreamGroup,
+    id: &str,
+) {
+    if wire.is_none() {
+        *wire = Some(Wire::new(listener.accept().await.expect("a connection").0));
+    }
+    let wire = wire.as_mut().expect("accepted");
+    assert_eq!(wire.read().await.expect("the job").header("x-trace-id"), Some(id), "on the same connection");
+    wire.send(ACCEPTED).await;
+    let (id, from) = (id.to_string(), worker_name(number, 0));
+    let state = CallbackState::Done;
+    assert!(group.called_back(&Callback { id, from, state, share: 0.0, result: String::new(), load: None }));
+}
+
+/// Beyond the limit, idle connections to the least recently used workers are closed, and those of the others are used again.
+#[rstest]
+#[timeout(HANG)]
+#[tokio::test]
+async fn idle_connections_of_the_least_recently_used_workers_make_room() {
+    const MOST: usize = 2;
+    // None of them expires within the story.
+    let group = UpstreamGroup::new(HANG, 10 * HANG, 1);
+    group.limit_connections(MOST);
+    let mut workers = Vec::new();
+    for number in 0..MOST + 1 {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let (name, address) = (worker_name(number, 0), listener.local_addr().expect("bound").to_string());
+        let listed = [(worker_id(&name), name.as_str(), address.as_str(), MemberState::Ready)];
+        group.apply(ListKind::Changes, listed.into_iter());
+        workers.push((listener, None));
+    }
+    for (id, number) in [0, 1, 0, 2, 0, 2].into_iter().enumerate() {
+        let (listener, wire) = &mut workers[number];
+        let (id, target) = (format!("{id:016x}"), "/safe/k".parse().expect("a path"));
+        let parcel = Parcel { id: id.clone(), target, idempotency_key: None, body: "work".into() };
+        let (_cancel, cancelled) = oneshot::channel();
+        let (request, worker) = (request_id(&id).expect("an id"), worker_id(&worker_name(number, 0)));
+        let attempt = group.attempt(request, worker, &parcel, Terms::within(HANG), cancelled, |_| {});
+        let ((ended, _), ()) = tokio::join!(attempt, take_job(number, listener, wire, &group, &id));
+        assert_eq!(ended, Ended::Served("".into()));
+    }
+    let wire = workers[1].1.as_mut().expect("it had a job");
+    assert!(wire.read().await.is_none(), "closed, since it was used before the others");
+    assert_eq!(group.connections().get(), MOST);
+}
+
 /// An entry that no message of the hand-over can hold costs the successor no worker: it asks for the whole list.
 #[rstest]
 #[timeout(HANG)]
