Find the lines of a configuration's keys by a table, not by a count from its start

Cause: Text::place in config/check.rs counted the lines from the start of the file for each value, and each value is placed twice, so that reading took time by the square of the file: 8.5 s of processor time (debug build) for 1,200 [[peer]] and 1,200 addresses in tier.each, at a start as in `check`. Change: the offsets at which lines begin are kept, and a place is looked up in them.

--- a/crates/vetchbridge/src/config/check.rs
+++ b/crates/vetchbridge/src/config/check.rs
@@ -69,6 +69,8 @@
 pub struct Text<'t> {
     source: &'t str,
     text: &'t str,
+    /// Where each line begins, by its offset.
+    line_starts: Vec<usize>,
     root: Spanned<DeTable<'t>>,
 }
 
@@ -76,7 +78,9 @@
     /// Parses a text; what is no TOML becomes faults, and the rest is still there to look at.
     pub fn parse(source: &'t str, text: &'t str) -> (Text<'t>, Vec<Fault>) {
         let (root, errors) = DeTable::parse_recoverable(text);
-        let parsed = Text { source, text, root };
+        let line_starts =
+            std::iter::once(0).chain(text.match_indices('\n').map(|(end, _)| end + 1)).collect();
+        let parsed = Text { source, text, line_starts, root };
         let faults = errors
             .iter()
             .map(|error| Fault {
@@ -91,10 +95,10 @@
     }
 
     fn place(&self, offset: usize) -> (usize, usize) {
-        let before = &self.text.as_bytes()[..offset.min(self.text.len())];
-        let line_start = before.iter().rposition(|b| *b == b'\n').map_or(0, |at| at + 1);
-        let line = before.iter().filter(|b| **b == b'\n').count() + 1;
-        (line, String::from_utf8_lossy(&before[line_start..]).chars().count() + 1)
+        let offset = offset.min(self.text.len());
+        let line = self.line_starts.partition_point(|start| *start <= offset);
+        let before = &self.text.as_bytes()[self.line_starts[line - 1]..offset];
+        (line, String::from_utf8_lossy(before).chars().count() + 1)
     }
 
     /// A fault at a key's value, or at the nearest table around it that the text has.
--- a/crates/vetchbridge/tests/large_fleet.rs
+++ b/crates/vetchbridge/tests/large_fleet.rs
@@ -10,6 +10,7 @@
 use common::*;
 use platform::wire::Wire;
 use rstest::rstest;
+use rustix::time::{clock_gettime, ClockId};
 use serde_json::{json, Value};
 use silverproxy::interface::{ListKind, MemberState};
 use silverproxy::words::Word as SiblingWord;
@@ -23,6 +24,7 @@
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
 use tokio::sync::oneshot;
 use tokio::time::sleep;
+use vetchbridge::config::read_text;
 use vetchbridge::list::listing::Instance;
 use vetchbridge::peers::{
     request_id, worker_id, Callback, CallbackState, Ended, Parcel, Terms, UpstreamGroup,
@@ -471,16 +473,41 @@
     document["known"] = fleet.list.clone();
     check("large.json", &document.to_string());
 
-    let each: Vec<String> = (0..SCHEDULERS).map(|n| worker_address(n, 7000).to_string()).collect();
+    check("large.toml", &configuration_file(WORKERS));
+}
+
+/// Our own form of a configuration with so many workers and as many schedulers.
+fn configuration_file(size: usize) -> String {
+    let each: Vec<String> = (0..size).map(|n| worker_address(n, 7000).to_string()).collect();
     let mut file = format!(
         "name = \"n0\"\nlisten = \"127.0.0.1:0\"\nseed = \"1\"\n\
-         [tier]\nme = {}\nschedulers = {SCHEDULERS}\nmessages = \"127.0.0.1:7000\"\neach = {each:?}\n\
+         [attempts]\nmessages = true\n[tier]\nme = {}\nschedulers = {size}\nmessages = \"127.0.0.1:7000\"\neach = {each:?}\n\
          [[class]]\nname = \"safe\"\nrepeat = \"safe\"\naim = \"1s\"\ndeadline = \"2s\"\n",
-        SCHEDULERS - 1
+        size - 1
     );
-    for number in 0..WORKERS {
+    for number in 0..size {
         let (name, address) = (worker_name(number, 8), worker_address(number, 8000));
         file.push_str(&format!("[[peer]]\nname = \"{name}\"\naddress = \"{address}\"\n"));
     }
-    check("large.toml", &file);
+    file
+}
+
+/// The processor time that reading a configuration of this size takes; the least of three.
+fn reading_takes(size: usize) -> Duration {
+    let now = || Duration::try_from(clock_gettime(ClockId::ThreadCPUTime)).expect("it counts from 0");
+    let file = configuration_file(size);
+    let reading = || {
+        let began = now();
+        let read = read_text("large.toml", &file).expect("it is accepted");
+        assert_eq!(read.config.siblings.map(|siblings| siblings.each.len()), Some(size));
+        now() - began
+    };
+    (0..3).map(|_| reading()).min().expect("three")
+}
+
+/// Reading a configuration takes time by its length: four times as many workers and schedulers take no sixteen times as long.
+#[test]
+fn reading_a_large_configuration_takes_no_time_by_its_square() {
+    let (quarter, whole) = (reading_takes(WORKERS / 4), reading_takes(WORKERS));
+    assert!(whole < 8 * quarter, "{quarter:?} for a quarter of it, {whole:?} for all");
 }
