Tell hand-over files of long scheduler names apart by a hash of the whole name

Cause: the file of the hand-over was named by the first 32 characters of the scheduler's name (config/platform.rs). Of schedulers in one folder whose long names begin alike the first alone had a hand-over socket: the second took it for a stranger's, opened none, and its next process waited 5 s for the address and ended with "Address already in use". Change: a longer name is cut to 15 characters and followed by its hash; names up to 32 characters keep their file. A process with a longer name that was started before this change isn't found by one after it, once.

--- a/crates/vetchbridge/src/config/platform.rs
+++ b/crates/vetchbridge/src/config/platform.rs
@@ -5,6 +5,7 @@
 use super::{file, Config, ConfigError, Effective, Fault, Flags, Read, Siblings};
 use crate::list::listing::{Names, Source};
 use crate::peers::load::{FreeSlots, Reports};
+use crate::peers::name_hash;
 use crate::snapshot::Snapshot;
 use serde::de::DeserializeOwned;
 use serde_json::{Map, Value};
@@ -18,10 +19,20 @@
 /// When peers close an idle connection where nothing says otherwise.
 pub const CONN_IDLE: Duration = Duration::from_secs(60);
 
-/// A file's name for the hand-over between two processes of one scheduler; others may share their folder.
+/// Characters of a scheduler's name in that of its hand-over file: a Unix socket's path has 107 in all.
+const NAME_IN_FILE: usize = 32;
+
+/// A file's name for the hand-over between two processes of one scheduler; others may share their folder, also such whose
+/// names begin alike.
 fn handover(scheduler: &str) -> String {
     let plain = |c: char| if c.is_ascii_alphanumeric() || c == '-' { c } else { '_' };
-    format!("vetchbridge-{}.handover", scheduler.chars().map(plain).take(32).collect::<String>())
+    let mut name: String = scheduler.chars().map(plain).collect();
+    if name.len() > NAME_IN_FILE {
+        let hash = format!("-{:016x}", name_hash(scheduler));
+        name.truncate(NAME_IN_FILE - hash.len());
+        name.push_str(&hash);
+    }
+    format!("vetchbridge-{name}.handover")
 }
 
 /// Reads the document and notes what is wrong with it, all at once.
--- a/crates/vetchbridge/src/peers/mod.rs
+++ b/crates/vetchbridge/src/peers/mod.rs
@@ -67,10 +67,15 @@
     }
 }
 
-/// The number by which the module knows a peer: a hash of its name alone (FNV-1a), so that all schedulers agree.
-pub fn worker_id(name: &str) -> WorkerId {
+/// A hash of a name that is the same in every process (FNV-1a).
+pub fn name_hash(name: &str) -> u64 {
     let hash = |h: u64, b: u8| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3);
-    WorkerId(name.bytes().fold(0xcbf2_9ce4_8422_2325, hash))
+    name.bytes().fold(0xcbf2_9ce4_8422_2325, hash)
+}
+
+/// The number by which the module knows a peer: a hash of its name alone, so that all schedulers agree.
+pub fn worker_id(name: &str) -> WorkerId {
+    WorkerId(name_hash(name))
 }
 
 /// Reads a request id: exactly 16 hex digits.
--- a/crates/vetchbridge/tests/large_fleet.rs
+++ b/crates/vetchbridge/tests/large_fleet.rs
@@ -402,6 +402,31 @@
     assert_eq!(group.connections().get(), MOST);
 }
 
+/// Many schedulers may share a folder. Each is found by its own successor and by nobody else's, also where long names begin alike.
+#[rstest]
+#[timeout(HANG)]
+#[tokio::test]
+async fn schedulers_whose_long_names_begin_alike_are_handed_over_each_to_its_own() {
+    let mut fleet = Fleet::set(8, Form::Compact).await;
+    let mut started = Vec::new();
+    for number in [SCHEDULERS - 2, SCHEDULERS - 1] {
+        fleet.config["name"] = format!("scheduler-of-the-first-deployment-zone-a-{number}").into();
+        fleet.config["listen"] = "127.0.0.1:0".into();
+        let reserved = std::net::UdpSocket::bind("127.0.0.1:0").expect("a port");
+        fleet.config["peer_listen"] = reserved.local_addr().expect("bound").to_string().into();
+        drop(reserved);
+        let process = fleet.start_without_list();
+        started.push((process, fleet.config.clone()));
+    }
+    for (process, config) in started {
+        fleet.config = config;
+        let successor = fleet.start_without_list();
+        assert_eq!(successor.address, process.address);
+        assert_eq!(successor.operate("health").await, "ok serving\n");
+        assert_eq!(process.operate("quiesce").await, "fail handed over; ask the successor\n");
+    }
+}
+
 /// An entry that no message of the hand-over can hold costs the successor no worker: it asks for the whole list.
 #[rstest]
 #[timeout(HANG)]
