Let a plan of the kit have up to 10,000 schedulers, as it may have peers

Cause: schedulers.count in vetchkit's plans was held to 64 by a guess (plan.rs); nothing is sized by it. Change: the same range as for peers. What the machine lacks for so many, descriptors first, is told at the start as before. Measured: a_plan_of_many_schedulers_and_peers_is_accepted (1,200 each) failed with "1200 is out of range; from 1 to 64" and passes now; a_faulty_plan_tells_every_fault_and_starts_nothing passes. The rest of vetchkit's tests was not run.

--- a/crates/vetchkit/src/plan.rs
+++ b/crates/vetchkit/src/plan.rs
@@ -57,7 +57,7 @@
 #[serde(deny_unknown_fields)]
 pub struct Schedulers {
     /// How many.
-    #[schemars(range(min = 1, max = 64))]
+    #[schemars(range(min = 1, max = 10000))]
     pub count: usize,
     /// How late the front notices that one has gone.
     #[serde(default = "notice")]
--- a/crates/vetchkit/tests/commands.rs
+++ b/crates/vetchkit/tests/commands.rs
@@ -120,6 +120,26 @@
     }
 }
 
+/// A plan may have as many schedulers and peers as a large deployment.
+#[test]
+fn a_plan_of_many_schedulers_and_peers_is_accepted() {
+    let demo = String::from_utf8(run(&["plan", "show", "demo"]).stdout).expect("text");
+    let table = |name: &str| demo.find(name).expect("a table");
+    let mut plan = demo.clone();
+    // From the end on, so that the places before it stay.
+    let mut tables = [table("[schedulers]"), table("[[peers]]")];
+    tables.sort_unstable();
+    for table in tables.into_iter().rev() {
+        let count = table + plan[table..].find("count = ").expect("a number");
+        let line_end = count + plan[count..].find('\n').expect("a line");
+        plan.replace_range(count..line_end, "count = 1200");
+    }
+    let path = format!("{}/plan-{}-large.toml", env!("CARGO_TARGET_TMPDIR"), std::process::id());
+    std::fs::write(&path, plan).expect("written");
+    let output = run(&["plan", "check", &path]);
+    assert_eq!(output.status.code(), Some(0), "{}", words(&output));
+}
+
 #[test]
 fn what_the_machine_cannot_do_is_told_apart_from_bad_input() {
     let cases: [(&[&str], i32, &str); 4] = [
