--- a/crates/vetchbridge/tests/large_fleet.rs
+++ b/crates/vetchbridge/tests/large_fleet.rs
@@ -8,14 +8,16 @@
 mod common;
 
 use common::*;
+use futures_util::future::join_all;
 use platform::wire::Wire;
 use rstest::rstest;
 use rustix::time::{clock_gettime, ClockId};
 use serde_json::{json, Value};
-use silverproxy::interface::{ListKind, MemberState};
+use silverproxy::interface::{ListKind, MemberState, Status};
 use silverproxy::words::Word as SiblingWord;
 use std::collections::BTreeSet;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::ops::RangeInclusive;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -26,9 +28,7 @@
 use tokio::time::sleep;
 use vetchbridge::config::read_text;
 use vetchbridge::list::listing::Instance;
-use vetchbridge::peers::{
-    request_id, worker_id, Callback, CallbackState, Ended, Parcel, Terms, UpstreamGroup,
-};
+use vetchbridge::peers::{request_id, worker_id, Ended, Parcel, Terms, UpstreamGroup};
 use vetchbridge::upgrade::words::{in_messages, Word, LONGEST};
 
 const WORKERS: usize = 1200;
@@ -216,18 +216,10 @@
 
     /// Hands in so many jobs of different keys, one after the other on one connection, and has each of them served; the workers
     /// that did.
-    async fn serve(&mut self, jobs: usize) -> BTreeSet<usize> {
-        let mut client = dial(scheduler(&self.target)).await;
-        let mut workers = BTreeSet::new();
-        for _ in 0..jobs {
-            self.jobs += 1;
-            let headers = format!("X-Trace-Id: {:016x}\r\nX-Qos: safe\r\n", self.jobs);
-            client.hand_in(&format!("/safe/key-{}", self.jobs), &headers, "work").await;
-            let answer = client.read().await.expect("an answer");
-            assert_eq!(answer.status(), "200", "job {} after {} workers", self.jobs, workers.len());
-            workers.insert(answer.text().parse().expect("a worker's number"));
-        }
-        workers
+    async fn serve(&mut self, jobs: u64) -> BTreeSet<usize> {
+        let first = self.jobs + 1;
+        self.jobs += jobs;
+        serve_jobs(scheduler(&self.target), first..=self.jobs).await
     }
 
     /// Serves jobs, and shows that the scheduler has the whole list, its end included.
@@ -244,6 +236,21 @@
     }
 }
 
+/// Hands in the jobs of these numbers to a scheduler, one after the other on one connection, and has each of them served; the
+/// workers that did.
+async fn serve_jobs(scheduler: SocketAddr, jobs: RangeInclusive<u64>) -> BTreeSet<usize> {
+    let mut client = dial(scheduler).await;
+    let mut workers = BTreeSet::new();
+    for job in jobs {
+        let headers = format!("X-Trace-Id: {job:016x}\r\nX-Qos: safe\r\n");
+        client.hand_in(&format!("/safe/key-{job}"), &headers, "work").await;
+        let answer = client.read().await.expect("an answer");
+        assert_eq!(answer.status(), "200", "job {job} after {} workers", workers.len());
+        workers.insert(answer.text().parse().expect("a worker's number"));
+    }
+    workers
+}
+
 /// The last of 1,200 schedulers, which may send one another datagrams; `siblings` are the others' sockets.
 fn large_config(discovery: SocketAddr, siblings: &[SocketAddr]) -> Value {
     let reserved = std::net::UdpSocket::bind("127.0.0.1:0").expect("a port");
@@ -340,6 +347,8 @@
 #[timeout(HANG)]
 #[tokio::test]
 async fn fewer_descriptors_than_workers_serve_them_all() {
+    const CLIENTS: u64 = 60;
+    const JOBS_EACH: u64 = 8;
     let mut fleet = Fleet::set(8, Form::Compact).await;
     fleet.config["limits"]["sockets"] = 256.into();
     // A job whose dial fails is not mended by another attempt, nor by a wait until kept connections have expired.
@@ -349,57 +358,59 @@
     until_ready(&process).await;
     let workers = fleet.serve(400).await;
     assert!(workers.len() > 300, "only {} workers were tried", workers.len());
+    // Also with many clients at once, each of which waits for its answer.
+    let clients = (0..CLIENTS).map(|client| {
+        let first = fleet.jobs + 1 + client * JOBS_EACH;
+        serve_jobs(process.address, first..=first + JOBS_EACH - 1)
+    });
+    assert_eq!(join_all(clients).await.len() as u64, CLIENTS);
 }
 
-/// A worker's part in an attempt there: it takes the job on its connection, accepted now if it has none yet.
-async fn take_job(
-    number: usize,
-    listener: &TcpListener,
-    wire: &mut Option<Wire>,
-    group: &UpstreamGroup,
-    id: &str,
-) {
-    if wire.is_none() {
-        *wire = Some(Wire::new(listener.accept().await.expect("a connection").0));
+/// A worker that turns every job away and keeps the connection; tells its number for each connection that the other side ends.
+async fn turn_away(number: usize, listener: TcpListener, ended: UnboundedSender<usize>) {
+    loop {
+        let (mut wire, ended) = (Wire::new(listener.accept().await.expect("a connection").0), ended.clone());
+        tokio::spawn(async move {
+            while wire.read().await.is_some() {
+                wire.send("HTTP/1.1 503 No\r\nX-Never-Ran: 1\r\ncontent-length: 0\r\n\r\n").await;
+            }
+            ended.send(number).expect("the story goes on");
+        });
     }
-    let wire = wire.as_mut().expect("accepted");
-    assert_eq!(wire.read().await.expect("the job").header("x-trace-id"), Some(id), "on the same connection");
-    wire.send(ACCEPTED).await;
-    let (id, from) = (id.to_string(), worker_name(number, 0));
-    let state = CallbackState::Done;
-    assert!(group.called_back(&Callback { id, from, state, share: 0.0, result: String::new(), load: None }));
 }
 
-/// Beyond the limit, idle connections to the least recently used workers are closed, and those of the others are used again.
+/// Beyond the limit, idle connections to the least recently used workers are closed, and those of the others are kept.
 #[rstest]
 #[timeout(HANG)]
 #[tokio::test]
 async fn idle_connections_of_the_least_recently_used_workers_make_room() {
-    const MOST: usize = 2;
+    const MOST: usize = 8;
+    const BESIDE: usize = 12;
     // None of them expires within the story.
     let group = UpstreamGroup::new(HANG, 10 * HANG, 1);
     group.limit_connections(MOST);
-    let mut workers = Vec::new();
-    for number in 0..MOST + 1 {
+    let (heard, mut ended) = unbounded_channel();
+    for number in 0..=BESIDE {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let (name, address) = (worker_name(number, 0), listener.local_addr().expect("bound").to_string());
         let listed = [(worker_id(&name), name.as_str(), address.as_str(), MemberState::Ready)];
         group.apply(ListKind::Changes, listed.into_iter());
-        workers.push((listener, None));
+        tokio::spawn(turn_away(number, listener, heard.clone()));
     }
-    for (id, number) in [0, 1, 0, 2, 0, 2].into_iter().enumerate() {
-        let (listener, wire) = &mut workers[number];
-        let (id, target) = (format!("{id:016x}"), "/safe/k".parse().expect("a path"));
-        let parcel = Parcel { id: id.clone(), target, idempotency_key: None, body: "work".into() };
-        let (_cancel, cancelled) = oneshot::channel();
+    // Worker 0 is used again after each of the others, which are used once.
+    for number in (1..=BESIDE).flat_map(|number| [number, 0]) {
+        let (id, target) = ("00000000000000ab".to_string(), "/safe/k".parse().expect("a path"));
         let (request, worker) = (request_id(&id).expect("an id"), worker_id(&worker_name(number, 0)));
-        let attempt = group.attempt(request, worker, &parcel, Terms::within(HANG), cancelled, |_| {});
-        let ((ended, _), ()) = tokio::join!(attempt, take_job(number, listener, wire, &group, &id));
-        assert_eq!(ended, Ended::Served("".into()));
+        let parcel = Parcel { id, target, idempotency_key: None, body: "work".into() };
+        let (_cancel, cancelled) = oneshot::channel();
+        let (end, _) = group.attempt(request, worker, &parcel, Terms::within(HANG), cancelled, |_| {}).await;
+        assert_eq!(end, Ended::Not(Status::Full));
+    }
+    let mut closed = BTreeSet::new();
+    for _ in 0..BESIDE + 1 - MOST {
+        closed.insert(ended.recv().await.expect("the workers run"));
     }
-    let wire = workers[1].1.as_mut().expect("it had a job");
-    assert!(wire.read().await.is_none(), "closed, since it was used before the others");
-    assert_eq!(group.connections().get(), MOST);
+    assert_eq!(closed, (1..=BESIDE + 1 - MOST).collect());
 }
 
 /// Many schedulers may share a folder. Each is found by its own successor and by nobody else's, also where long names begin alike.
