--- a/crates/vetchbridge/src/clients/connections.rs
+++ b/crates/vetchbridge/src/clients/connections.rs
@@ -17,6 +17,8 @@
 const SPARE: usize = 8;
 /// Clients have this share of the limit whatever the peers hold.
 const AT_LEAST: usize = 4;
+/// Idle connections to peers are kept up to this share of the limit whatever the clients hold.
+const PEERS_AT_LEAST: usize = 4;
 
 /// What other processes of this scheduler hold of the same budget.
 #[derive(Clone, Copy, Debug, Default)]
@@ -90,6 +92,15 @@
         clients.saturating_sub(elsewhere.connections)
     }
 
+    /// How many connections to peers there may be before idle ones are closed: what the clients leave that are here, an
+    /// eighth of the limit more of them, and a quarter of it in any case.
+    pub fn left_to_peers(&self, elsewhere: Elsewhere) -> usize {
+        let growing = self.count() + elsewhere.connections + self.limit / SPARE;
+        let clients = growing.max(self.limit / AT_LEAST);
+        let taken = self.aside + PROGRAM * (1 + elsewhere.processes) + self.limit / SPARE + clients;
+        self.limit.saturating_sub(taken).max(self.limit / PEERS_AT_LEAST)
+    }
+
     /// When a new connection can have the place of one that is too young to go now, if there is no other place.
     pub fn relief(&self, elsewhere: Elsewhere) -> Option<Instant> {
         let (now, table) = (Instant::now(), lock(&self.table));
@@ -135,119 +146,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::clients::connection::YOUNG;
-    use crate::peers::Counted;
-
-    /// Room is made by who has said nothing, then by who stopped half-way, then by who only stays.
-    #[tokio::test(start_paused = true)]
-    async fn the_silent_go_first_and_who_is_owed_an_answer_never() {
-        let connections = of_six();
-        let places: Vec<Place<'_>> = (0..6).filter_map(|_| connections.place(ALONE)).collect();
-        let [owed, callback, kept, once, half, silent] = &places[..] else { panic!("six places") };
-        owed.connection.owe();
-        callback.connection.seen(b"POST /callback HTTP/1.1\r\n");
-        half.connection.seen(b"POST /a");
-        for (place, times) in [(kept, 2), (once, 1)] {
-            for _ in 0..times {
-                place.connection.seen(b"GET / HTTP/1.1\r\n\r\n");
-                place.connection.answered();
-                place.connection.flushed();
-            }
-        }
-        tokio::time::advance(YOUNG).await;
-        let mut newcomers = Vec::new();
-        for leaves in [silent, half, once, kept] {
-            newcomers.push(connections.place(ALONE).expect("room"));
-            newcomers.last().unwrap().connection.owe();
-            // A permit is there at once for the one that was chosen, and for no other.
-            leaves.connection.ended().await;
-        }
-        assert!(connections.place(ALONE).is_none(), "nobody may be sent away for another");
-        drop(newcomers.pop());
-        assert!(connections.place(ALONE).is_some(), "a place is given back");
-    }
-
-    /// Clients have what the program and the peers leave, not a fixed half; what the peers come to need is given up.
-    #[tokio::test(start_paused = true)]
-    async fn clients_have_what_the_peers_leave_and_make_room_for_them() {
-        let peers = Count::default();
-        let connections = ClientConnections::new(384, 16, peers.clone());
-        let held: Vec<Counted> = (0..46).map(|_| peers.one()).collect();
-        let crowd: Vec<Place<'_>> = (0..400).map_while(|_| connections.place(ALONE)).collect();
-        assert_eq!(crowd.len(), 384 - 16 - PROGRAM - 46 - 48);
-        for place in &crowd {
-            place.connection.keep();
-        }
-        assert!(connections.place(ALONE).is_some(), "they can be spared");
-        let more: Vec<Counted> = (0..100).map(|_| peers.one()).collect();
-        connections.sweep(ALONE);
-        assert_eq!(lock(&connections.table).staying(), crowd.len() - 100);
-        drop((held, more));
-        let budget = |processes| connections.budget(Elsewhere { processes, connections: 100 });
-        assert_eq!(budget(0) - budget(1), PROGRAM);
-    }
-
-    /// In a burst, one newcomer does not take the place of another that has not had the time to speak.
-    #[tokio::test(start_paused = true)]
-    async fn a_connection_just_made_is_left_the_time_to_send_its_request() {
-        let connections = of_six();
-        let places: Vec<Place<'_>> = (0..6).filter_map(|_| connections.place(ALONE)).collect();
-        assert!(connections.place(ALONE).is_none());
-        let relief = connections.relief(ALONE).expect("they grow older");
-        tokio::time::advance(relief - Instant::now()).await;
-        assert_eq!(connections.relief(ALONE), None);
-        places[0].connection.seen(b"POST /a");
-        let _newcomer = connections.place(ALONE).expect("one that still says nothing makes room");
-        places[1].connection.ended().await;
-    }
-
-    /// A client's next request may cross the choice of its connection to make room: it is answered, and no other.
-    #[tokio::test(start_paused = true)]
-    async fn a_request_that_crosses_the_choice_is_answered_first() {
-        let connections = of_six();
-        let places: Vec<Place<'_>> = (0..6).filter_map(|_| connections.place(ALONE)).collect();
-        places[0].connection.keep();
-        let _newcomer = connections.place(ALONE).expect("the idle one makes room");
-        let chosen = &places[0].connection;
-        chosen.seen(b"POST /a HTTP/1.1\r\n\r\n");
-        chosen.owe();
-        let ended = chosen.ended();
-        tokio::pin!(ended);
-        assert!(futures_util::poll!(ended.as_mut()).is_pending() && chosen.last());
-        chosen.answered();
-        chosen.flushed();
-        ended.await;
-    }
-
-    /// Who made room and has not gone yet is counted until it has, and goes at once when another needs its descriptor.
-    #[tokio::test(start_paused = true)]
-    async fn who_lingers_is_counted_and_goes_first() {
-        let connections = of_six();
-        let places: Vec<Place<'_>> = (0..6).filter_map(|_| connections.place(ALONE)).collect();
-        places[0].connection.keep();
-        let _newcomer = connections.place(ALONE).expect("the idle one makes room");
-        places[0].connection.ended().await;
-        places[0].connection.end();
-        places[0].connection.linger();
-        {
-            let ended = places[0].connection.ended();
-            tokio::pin!(ended);
-            assert!(futures_util::poll!(ended).is_pending(), "what it was told before is past");
-        }
-        assert!(connections.linger() && lock(&connections.table).staying() == 7);
-        let relief = connections.relief(ALONE).expect("its going alone makes no room");
-        tokio::time::advance(relief - Instant::now()).await;
-        let _next = connections.place(ALONE).expect("two make room");
-        places[0].connection.ended().await;
-        assert_eq!(lock(&connections.table).staying(), 6);
-    }
-
-    const ALONE: Elsewhere = Elsewhere { processes: 0, connections: 0 };
-
-    /// The least of limits: a quarter of it is the clients'.
-    fn of_six() -> ClientConnections {
-        ClientConnections::new(24, 0, Count::default())
-    }
-}
+mod tests;
--- a/crates/vetchbridge/src/clients/front.rs
+++ b/crates/vetchbridge/src/clients/front.rs
@@ -141,6 +141,7 @@
                 }
                 _ = sweep.tick() => {
                     self.connections.sweep(self.elsewhere());
+                    self.upstream.limit_connections(self.connections.left_to_peers(self.elsewhere()));
                     continue;
                 }
                 _ = successor.changed() => continue,
--- a/crates/vetchbridge/src/serve.rs
+++ b/crates/vetchbridge/src/serve.rs
@@ -30,8 +30,9 @@
 use tokio::time::{sleep, timeout, Instant};
 use tracing::{error, info, warn};
 
-/// Connections that the kernel keeps for us until they are accepted.
-const BACKLOG: u32 = 1024;
+/// Connections that the kernel keeps for us until they are accepted; it takes `net.core.somaxconn` if that is less. More
+/// workers than this would have to call back in one moment.
+const BACKLOG: u32 = 4096;
 /// One descriptor in so many, at most, is out on a probe: a quarter of those that are not for client connections.
 const PROBES: usize = 8;
 /// After SIGTERM, the listener stays at least this long: new connections keep arriving.
--- a/crates/vetchkit/src/plan/scheduler.rs
+++ b/crates/vetchkit/src/plan/scheduler.rs
@@ -17,7 +17,7 @@
 #[serde(deny_unknown_fields)]
 pub struct Schedulers {
     /// How many.
-    #[schemars(range(min = 1, max = 64))]
+    #[schemars(range(min = 1, max = 10000))]
     pub count: usize,
     /// How late the front notices that one has gone.
     #[serde(default = "notice")]
