Let a SIGHUP that comes while the configuration is read end no process

SIGHUP was caught in the first lines of serve::run, after the configuration had been read. One that came before that ended the process by the signal's default action: whoever changes the file and signals can't know that a process is only starting.

The runtime is now built, and the signal caught, before the configuration is read. Tokio tells of signals only when the runtime first waits, which is after serve::run has begun to listen, so that the one kept is heard there and the file is read again.

--- a/crates/vetchbridge/src/cli.rs
+++ b/crates/vetchbridge/src/cli.rs
@@ -9,6 +9,8 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use tokio::runtime::{self, Runtime};
+use tokio::signal::unix::{signal, Signal, SignalKind};
 
 const EXAMPLES: &str = "\
 Examples:
@@ -126,6 +128,7 @@
 fn start(serve: Serve) -> ExitCode {
     let Serve { config, name, listen, discovery, log_format, log_filter } = serve;
     let flags = Flags { config, name, listen, discovery, log_format, log_filter };
+    let prepared = prepare_runtime();
     let read = config::load(&flags);
     let (format, filter) = match &read {
         Ok(Config { log, .. }) => (log.format, log.filter.to_string()),
@@ -145,10 +148,8 @@
             return ExitCode::from(BAD_INPUT);
         }
     };
-    // One core is all there is: one thread, and no locks ever waited for.
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let ended = match runtime {
-        Ok(runtime) => runtime.block_on(serve::run(config, flags, logs)),
+    let ended = match prepared {
+        Ok((runtime, _hangup)) => runtime.block_on(serve::run(config, flags, logs)),
         Err(error) => Err(error.into()),
     };
     match ended {
@@ -160,6 +161,18 @@
     }
 }
 
+/// The runtime, with SIGHUP caught from here on. Until the daemon listens for it, one that comes is kept by the runtime,
+/// which tells of signals only when it first waits; uncaught, it would end the process while its configuration is read.
+fn prepare_runtime() -> io::Result<(Runtime, Signal)> {
+    // One core is all there is: one thread, and no locks ever waited for.
+    let runtime = runtime::Builder::new_current_thread().enable_all().build()?;
+    let hangup = {
+        let _context = runtime.enter();
+        signal(SignalKind::hangup())?
+    };
+    Ok((runtime, hangup))
+}
+
 fn check(files: &[PathBuf], json: bool) -> ExitCode {
     let (mut code, mut reports) = (ExitCode::SUCCESS, Vec::new());
     for path in files {
