Force a reload that changes how lists come against the watch that is out or has failed

A fourth order fails and is not in this commit: lists were pushed, a watch has just failed, and from now on they are asked for. The module hears of the failure while lists are pushed, subscribes to nothing then, and does nothing at new settings; the list is followed no further (no call within 10 s of the paused clock).

--- a/crates/vetchbridge/tests/parts.rs
+++ b/crates/vetchbridge/tests/parts.rs
@@ -15,7 +15,7 @@
 use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
-use tokio::time::Instant;
+use tokio::time::{timeout, Instant};
 use vetchbridge::config::read_text;
 use vetchbridge::engine::Engine;
 use vetchbridge::list::ask::Ask;
@@ -23,12 +23,15 @@
 use vetchbridge::list::listing::{Lifecycle, Roster, Source};
 use vetchbridge::peers::{Callback, Parcel, UpstreamGroup};
 use vetchbridge::request::{submit, Answer, Job};
-use vetchbridge::snapshot::Current;
+use vetchbridge::snapshot::{Current, Snapshot};
 use vetchbridge::upgrade::kin::Kin;
 
 /// A story that stands still fails.
 const HANG: Duration = Duration::from_secs(60);
 
+/// A scheduler that has not called discovery again by then is not going to.
+const LONGEST_PAUSE: Duration = Duration::from_secs(10);
+
 /// One of so many schedulers, its list from a scripted discovery.
 struct Parts {
     engine: Arc<Engine>,
@@ -72,6 +75,20 @@
         }
     }
 
+    /// What a reload does that names the same discovery and lists that are asked for (`ask`) or pushed (`push`).
+    fn reload(&self, discovers: &str) {
+        let (old, mut settings) = (self.current.get(), self.current.get().settings.clone());
+        settings.discovery = match discovers {
+            "push" => silverproxy::interface::Discovery::Push,
+            _ => silverproxy::interface::Discovery::Ask,
+        };
+        let (names, conn_idle, reports) = (old.names.clone(), old.conn_idle, old.reports);
+        self.current.swap(Snapshot { settings: settings.clone(), names, conn_idle, reports });
+        self.engine.handle(Event::Settings(Box::new(settings)));
+        let source = Source::Service(self.discovery.local_addr().expect("bound"));
+        self.ask.send(Ask::Move(source)).expect("it is served");
+    }
+
     /// The next connection that discovery gets, and the call on it.
     async fn call(&self) -> (Wire, String) {
         let mut wire = Wire::new(self.discovery.accept().await.expect("a call").0);
@@ -247,6 +264,49 @@
     }
 }
 
+/// A reload may change lists from asked for to pushed, or back, while a watch is out or just after one has failed. One that is
+/// out goes on, and the next one is opened by the rule then in force: where many ask, a second failure in a row makes the
+/// pause long; whoever pushes a list serves this scheduler alone.
+#[rstest]
+#[case::pushed_from_now_on("ask", "push", true)]
+#[case::pushed_from_a_failure_on("ask", "push", false)]
+#[case::asked_for_from_now_on("push", "ask", true)]
+#[timeout(HANG)]
+#[tokio::test(start_paused = true)]
+async fn the_list_is_followed_on_by_the_rule_in_force_after_a_reload(
+    #[case] from: &str,
+    #[case] to: &str,
+    #[case] out: bool,
+) {
+    let mut parts = Parts::following(300, from).await;
+    parts.follow(json!([]));
+    let (mut wire, _) = parts.call().await;
+    let list =
+        |generation: u32| json!({"generation": generation, "reset": true, "instances": []}).to_string();
+    wire.answer(200, "", &list(2)).await.expect("it is read");
+    assert!(wire.read().await.expect("the watch goes on").target().contains("index=2&"));
+    if out {
+        parts.reload(to);
+        at_rest().await;
+        wire.answer(200, "", &list(3)).await.expect("it is read");
+        assert!(wire.read().await.expect("the same watch goes on").target().contains("index=3&"));
+    }
+    let mut waited = Duration::ZERO;
+    // Two of them after the reload.
+    for failure in 0..if out { 2 } else { 3 } {
+        let failed = Instant::now();
+        wire.answer(503, "connection: close\r\n", "").await.expect("it is read");
+        if !out && failure == 0 {
+            at_rest().await;
+            parts.reload(to);
+        }
+        (wire, _) = timeout(LONGEST_PAUSE, parts.call()).await.expect("the list is followed on");
+        waited = failed.elapsed();
+    }
+    let pushed = waited <= Duration::from_millis(200);
+    assert!(pushed == (to == "push") && (pushed || waited >= Duration::from_secs(1)), "{waited:?}");
+}
+
 /// An answer that breaks off has told what it holds up to there. Who leaves is heeded whatever the version; who is up, or up
 /// again as another process, only where the answer is no older than the list in hand.
 #[rstest]
