Notice that a client has left although it wrote on after a chunked job

The watch on a connection's framing stopped at a chunked body: hyper was given all that followed, and takes no notice of the end with a byte of another request in hand. What the client had written after its job hid its departure until the answer (clients/framing.rs, Framing::Unwatched). Ruled out: hyper's own reading on to the end, which stops at the first byte that it holds.

clients/chunks.rs follows a chunked body to its last byte, by the grammar that hyper reads it by, so that hyper is given that body and no more; what follows is kept as after any other job, and goes nowhere, since a chunked request stays its connection's last. Where the watch finds no chunked body hyper finds none either, and answers.

--- a/crates/vetchbridge/src/clients/connection.rs
+++ b/crates/vetchbridge/src/clients/connection.rs
@@ -4,7 +4,7 @@
 //! in which connections can be spared, and how one is closed. It knows nothing of what requests say. It must never name
 //! one as spare that owes an answer or brings a callback, nor one that has just been made.
 
-use super::framing::{Framing, Watch, HEAD_LIMIT};
+use super::framing::{Watch, HEAD_LIMIT};
 use super::lock;
 use std::io;
 use std::pin::Pin;
@@ -71,7 +71,7 @@
 impl State {
     fn see(&mut self, bytes: &[u8]) -> usize {
         let own = self.watch.see(bytes);
-        self.whole = own > 0 && self.watch.between_requests();
+        self.whole = own > 0 && self.watch.whole();
         match self.stage {
             // The time counts from connecting.
             Stage::Silent => self.stage = Stage::Arriving,
@@ -155,7 +155,7 @@
     /// Whether the answer in hand is its last: its next request could not be watched or kept, or it makes room.
     pub fn last(&self) -> bool {
         let state = lock(&self.state);
-        state.watch.framing == Framing::Unwatched || state.overrun || state.chosen.is_some()
+        state.watch.last() || state.overrun || state.chosen.is_some()
     }
 
     /// Our side is closed. It holds its descriptor again until it has gone, also where it was chosen to make room.
--- a/crates/vetchbridge/src/clients/framing.rs
+++ b/crates/vetchbridge/src/clients/framing.rs
@@ -3,6 +3,8 @@
 //! Owns where in a connection's bytes one request ends and the next begins, as far as that can be followed. It must never
 //! read what a request says but its path, its length and its encoding, nor see other heads than hyper does.
 
+use super::chunks::{Chunks, Progress};
+
 /// The longest head; also hyper's read buffer, which bounds the memory that a connection takes.
 pub const HEAD_LIMIT: usize = 8 * 1024;
 /// The most header lines, as hyper has it.
@@ -10,11 +12,15 @@
 
 /// Where in a client's bytes the watch stands.
 #[derive(Debug, PartialEq, Eq)]
-pub(super) enum Framing {
+enum Framing {
     /// In a head, with what has come of it.
     Head(Vec<u8>),
     /// In a body, with this many bytes to come.
     Body(u64),
+    /// In a chunked body.
+    Chunked(Chunks),
+    /// After a chunked body: what follows is handed to nobody, since the connection ends with the answer that is due.
+    Ended,
     /// Past what the watch can follow; the connection ends with the answer that is due.
     Unwatched,
 }
@@ -22,7 +28,7 @@
 /// What the framing told of a connection's requests.
 #[derive(Debug)]
 pub(super) struct Watch {
-    pub(super) framing: Framing,
+    framing: Framing,
     /// A request had both a `Content-Length` and a `Transfer-Encoding`: another may hide in its body.
     pub(super) ambiguous: bool,
     /// The request in hand is a callback.
@@ -35,6 +41,16 @@
         Watch { framing: Framing::Head(Vec::new()), ambiguous: false, callback: false }
     }
 
+    /// Whether the request in hand has come to its last byte.
+    pub(super) fn whole(&self) -> bool {
+        self.framing == Framing::Ended || self.between_requests()
+    }
+
+    /// Whether no other request can follow the one in hand.
+    pub(super) fn last(&self) -> bool {
+        matches!(self.framing, Framing::Chunked(_) | Framing::Ended | Framing::Unwatched)
+    }
+
     /// Whether no byte of the next request has come.
     pub(super) fn between_requests(&self) -> bool {
         matches!(&self.framing, Framing::Head(head) if head.is_empty())
@@ -47,6 +63,16 @@
         while !bytes.is_empty() {
             match &mut self.framing {
                 Framing::Unwatched => return all.len(),
+                Framing::Ended => break,
+                Framing::Chunked(chunks) => match chunks.see(bytes) {
+                    Progress::Within => return all.len(),
+                    Progress::Ended(length) => {
+                        bytes = &bytes[length..];
+                        self.framing = Framing::Ended;
+                    }
+                    // hyper finds the same fault, answers and closes.
+                    Progress::Malformed => self.framing = Framing::Unwatched,
+                },
                 Framing::Body(left) => {
                     let here = bytes.len().min(usize::try_from(*left).unwrap_or(usize::MAX));
                     *left -= here as u64;
@@ -75,7 +101,7 @@
                             let size = named("content-length");
                             if named("transfer-encoding").is_some() {
                                 self.ambiguous |= size.is_some();
-                                (Framing::Unwatched, length)
+                                (Framing::Chunked(Chunks::new()), length)
                             } else {
                                 let size = size.and_then(|value| std::str::from_utf8(value).ok());
                                 match size.map_or(Ok(0), |value| value.trim().parse()) {
--- a/crates/vetchbridge/src/clients/mod.rs
+++ b/crates/vetchbridge/src/clients/mod.rs
@@ -3,6 +3,7 @@
 //! This room owns what a client or a callback can see of the daemon. It must never choose a peer or speak to one.
 
 mod body;
+mod chunks;
 mod connection;
 mod connections;
 mod framing;
--- a/crates/vetchbridge/tests/closing.rs
+++ b/crates/vetchbridge/tests/closing.rs
@@ -77,6 +77,30 @@
     assert_eq!(stage.only_one_more_arrives().await, 0);
 }
 
+/// A chunked job is its connection's last: however it came, what follows it reaches no peer.
+#[rstest]
+#[timeout(HANG)]
+#[tokio::test]
+async fn nothing_is_sent_on_of_what_follows_a_chunked_job(#[values(true, false)] at_once: bool) {
+    let mut stage = Stage::set(1).await;
+    let mut client = dial(stage.daemon.address).await;
+    let head = "POST /safe/k HTTP/1.1\r\nhost: x\r\nx-trace-id: 00000000000000a1\r\ntransfer-encoding: chunked\r\n\r\n";
+    let all = format!("{head}4\r\nwork\r\n0\r\n\r\n{}", post("00000000000000a2", 4));
+    if at_once {
+        client.send(&all).await;
+    } else {
+        client.write_in_pieces(&all).await.expect("the daemon reads");
+    }
+    let (number, mut peer) = stage.peer().await;
+    assert_eq!(peer.read().await.expect("the job").text(), "work");
+    peer.send(ACCEPTED_LAST).await;
+    stage.call_back("00000000000000a1", number, "done").await;
+    let answer = client.read().await.expect("an answer");
+    assert_eq!((answer.status(), answer.header("connection")), ("200", Some("close")));
+    ends_cleanly(&mut client, Some(&stage)).await;
+    assert_eq!(stage.only_one_more_arrives().await, 0);
+}
+
 /// Idle connections are closed while the next request is on the way: what has been read of it is read on and answered.
 #[rstest]
 #[timeout(HANG)]
--- a/crates/vetchbridge/tests/leaving.rs
+++ b/crates/vetchbridge/tests/leaving.rs
@@ -117,6 +117,43 @@
     assert_eq!(stage.only_one_more_arrives().await, 0, "nobody is dialled for it");
 }
 
+/// The same of a job whose length only its last chunk tells, however its chunks are written.
+#[rstest]
+#[timeout(HANG)]
+#[tokio::test]
+async fn what_a_client_wrote_after_a_chunked_job_hides_no_departure(
+    #[values(
+        "4\r\nwork\r\n0\r\n\r\n",
+        "1;a=\"b\"\r\nw\r\n003 \r\nork\r\n00\r\nx-sum: 1\r\n\r\n",
+        "0\r\n\r\n"
+    )]
+    body: &str,
+    #[values("\r\n", NEXT, &NEXT.repeat(2000))] after: &str,
+    #[values(Leaves::Closes, Leaves::Resets)] how: Leaves,
+    #[values(true, false)] at_once: bool,
+) {
+    let mut stage = Stage::set(1).await;
+    let mut client = dial(stage.daemon.address).await;
+    let head = "POST /safe/k HTTP/1.1\r\nhost: x\r\nx-trace-id: 00000000000000cd\r\ntransfer-encoding: chunked\r\n\r\n";
+    if at_once {
+        client.send(&format!("{head}{body}{after}")).await;
+    } else {
+        client.write_in_pieces(&format!("{head}{body}")).await.expect("the daemon reads");
+        client.send(after).await;
+    }
+    let (number, mut peer) = stage.peer().await;
+    let job = peer.read().await.expect("the job");
+    assert_eq!(job.text(), if body.len() > 5 { "work" } else { "" });
+    // Once it is taken, nothing but its client's departure calls the attempt off.
+    peer.send("HTTP/1.1 202 Accepted\r\nconnection: close\r\ncontent-length: 0\r\n\r\n").await;
+    stage.call_back("00000000000000cd", number, "started").await;
+    how.leave(client).await;
+    let (_, mut peer) = stage.peer().await;
+    assert_eq!(peer.read().await.expect("a call").line, "DELETE /jobs/00000000000000cd HTTP/1.1");
+    drop(peer);
+    assert_eq!(stage.only_one_more_arrives().await, 0, "nobody is dialled for it");
+}
+
 /// A job whose client goes before its last byte, or together with it, is not taken at all.
 #[rstest]
 #[case::half_a_head("POST /safe/k HTTP/1.1\r\nhost: x\r\nx-trace-id: 00000000000000cd\r\ncont")]
