Force a dial that finds no descriptor

crowds.rs, a_dial_without_a_descriptor_blames_no_peer: the daemon's limit is lowered and its last descriptor taken, with discovery gone, so that none comes free in between; a failed accept is the barrier. An attempt of a job that must not run twice is refused with advice that does not grow over four of them, and the job goes through once there are descriptors again.

--- a/crates/vetchbridge/tests/crowds.rs
+++ b/crates/vetchbridge/tests/crowds.rs
@@ -14,6 +14,41 @@
 
 const READY: &str = "GET /health/ready HTTP/1.1\r\nhost: x\r\n\r\n";
 
+impl Stage {
+    /// The machine gives the daemon so many descriptors from now on, whatever it was told.
+    fn may_hold_descriptors(&self, most: u64) {
+        let pid = Pid::from_raw(self.daemon.child.id() as i32).expect("a process");
+        let limit = Rlimit { current: Some(most), maximum: Some(1024) };
+        prlimit(Some(pid), Resource::Nofile, limit).expect("its limit is ours to set");
+    }
+
+    /// Takes the last descriptor that the machine gives the daemon; a connection waits that could not be accepted.
+    async fn no_descriptor_is_left(&mut self) -> Vec<Wire> {
+        const DESCRIPTORS: u64 = 40;
+        self.may_hold_descriptors(DESCRIPTORS);
+        let mut crowd = Vec::new();
+        for _ in 0..=DESCRIPTORS {
+            let mut stays = dial(self.daemon.address).await;
+            // Who has been answered may stay; who says nothing is sent away in time.
+            stays.send(READY).await;
+            crowd.push(stays);
+        }
+        self.daemon.logs("accept.failed").await;
+        crowd
+    }
+
+    /// Tells the list once, and goes: no call to discovery holds a descriptor from then on.
+    async fn discovery_goes(&mut self) {
+        let mut watch = Wire::new(self.discovery.accept().await.expect("the watch").0);
+        watch.asked().await;
+        watch.list(5, json!(self.known)).await;
+        watch.asked().await;
+        drop(std::mem::replace(&mut self.discovery, TcpListener::bind("127.0.0.1:0").await.expect("a port")));
+        drop(watch);
+        self.daemon.logs("discovery.failed").await;
+    }
+}
+
 /// Clients and callbacks that have been answered and stay fill all there is, discovery is down and no connection to a peer
 /// is left: a job still gets its dial, its callback and its answer, and readiness is told.
 #[rstest]
@@ -50,9 +85,7 @@
 async fn accepting_goes_on_after_the_last_descriptor() {
     const FAILURES: u32 = 10;
     let mut stage = Stage::limited(0, &[], 1024).await;
-    let pid = Pid::from_raw(stage.daemon.child.id() as i32).expect("a process");
-    let limit = |current| Rlimit { current: Some(current), maximum: Some(1024) };
-    prlimit(Some(pid), Resource::Nofile, limit(40)).expect("its limit is ours to set");
+    stage.may_hold_descriptors(40);
     let began = Instant::now();
     let mut crowd: Vec<Wire> = Vec::new();
     for _ in 0..100 {
@@ -66,6 +99,34 @@
     assert_eq!(stage.readiness().await.status(), "200");
 }
 
+/// An attempt that finds no descriptor for its dial never ran, and is no fault of its peer: even one that must not run twice
+/// is refused at once with harmless advice, which does not grow however often it happens, and goes through once there are
+/// descriptors again.
+#[rstest]
+#[timeout(HANG)]
+#[tokio::test]
+async fn a_dial_without_a_descriptor_blames_no_peer() {
+    const TIMES: usize = 4;
+    let mut stage = Stage::limited(2, &[], 1024).await;
+    stage.discovery_goes().await;
+    let mut client = dial(stage.daemon.address).await;
+    client.send(READY).await;
+    assert_eq!(status(&client.read().await), "200");
+    let crowd = stage.no_descriptor_is_left().await;
+    for id in 0..TIMES {
+        client.hand_in("/unsafe/k", &format!("X-Trace-Id: {id:016x}\r\n"), "work").await;
+        let answer = client.read().await.expect("an answer");
+        assert_eq!(answer.status(), "503", "it never ran: {answer:?}");
+        let advice: f64 = answer.header("retry-after").expect("advice").parse().expect("seconds");
+        assert!(advice <= 0.6, "{advice} after {id} of them");
+    }
+    stage.may_hold_descriptors(1024);
+    client.hand_in("/unsafe/k", "X-Trace-Id: 00000000000000ab\r\n", "work").await;
+    stage.serve_next("00000000000000ab").await;
+    assert_eq!(status(&client.read().await), "200");
+    drop(crowd);
+}
+
 /// However many requests come at once on one connection, those of others are answered; who sends them and goes has
 /// none of them sent to a peer.
 #[rstest]
