--- a/crates/vetchbridge/tests/parts.rs
+++ b/crates/vetchbridge/tests/parts.rs
@@ -15,13 +15,14 @@
 use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
+use tokio::sync::oneshot;
 use tokio::time::{timeout, Instant};
 use vetchbridge::config::read_text;
 use vetchbridge::engine::Engine;
 use vetchbridge::list::ask::Ask;
 use vetchbridge::list::discovery::Discovery;
 use vetchbridge::list::listing::{Lifecycle, Roster, Source};
-use vetchbridge::peers::{Callback, Parcel, UpstreamGroup};
+use vetchbridge::peers::{request_id, Callback, Parcel, UpstreamGroup};
 use vetchbridge::request::{submit, Answer, Job};
 use vetchbridge::snapshot::{Current, Snapshot};
 use vetchbridge::upgrade::kin::Kin;
@@ -50,11 +51,16 @@
 
     /// The list is asked for (`ask`) or pushed (`push`).
     async fn following(schedulers: u32, discovers: &str) -> Parts {
+        Parts::numbered(0, schedulers, discovers).await
+    }
+
+    /// The scheduler of this number.
+    async fn numbered(me: u32, schedulers: u32, discovers: &str) -> Parts {
         let discovery = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let class = json!({"name": "receipt", "repeat": "unsafe", "aim": 500_000, "deadline": 60_000_000});
         let document = json!({"name": "n0", "listen": "127.0.0.1:0", "seed": "5eed",
             "discovery": discovery.local_addr().expect("bound").to_string(),
-            "settings": {"me": 0, "balancers": schedulers, "areas": ["a"], "kinds": ["m"], "zone": 0, "tick": 4000,
+            "settings": {"me": me, "balancers": schedulers, "areas": ["a"], "kinds": ["m"], "zone": 0, "tick": 4000,
                 "discovery": discovers, "services": [class], "limits": {"max_attempts": 4, "may_cancel": true},
                 "rules": {"stop_sending_within": 500_000, "start_capacity": 0.2, "cold": 24_000_000,
                           "tip_multiple": 2.5, "fall": 2_000_000}}});
@@ -75,15 +81,21 @@
         }
     }
 
+    /// Puts other settings in force.
+    fn adopt(&self, settings: Settings) {
+        let old = self.current.get();
+        let (names, conn_idle, reports) = (old.names.clone(), old.conn_idle, old.reports);
+        self.current.swap(Snapshot { settings, names, conn_idle, reports });
+    }
+
     /// What a reload does that names the same discovery and lists that are asked for (`ask`) or pushed (`push`).
     fn reload(&self, discovers: &str) {
-        let (old, mut settings) = (self.current.get(), self.current.get().settings.clone());
+        let mut settings = self.current.get().settings.clone();
         settings.discovery = match discovers {
             "push" => silverproxy::interface::Discovery::Push,
             _ => silverproxy::interface::Discovery::Ask,
         };
-        let (names, conn_idle, reports) = (old.names.clone(), old.conn_idle, old.reports);
-        self.current.swap(Snapshot { settings: settings.clone(), names, conn_idle, reports });
+        self.adopt(settings.clone());
         self.engine.handle(Event::Settings(Box::new(settings)));
         let source = Source::Service(self.discovery.local_addr().expect("bound"));
         self.ask.send(Ask::Move(source)).expect("it is served");
@@ -96,6 +108,24 @@
         (wire, target)
     }
 
+    /// Hands in a job of the one class, key `k`.
+    fn submit(&self, id: &str, body: Bytes) -> oneshot::Receiver<Answer> {
+        let request = Request {
+            id: request_id(id).expect("an id"),
+            class: ClassId(0),
+            tenant: TenantId(0),
+            key: Some("k".to_string()),
+            due: self.engine.clock.now() + 60_000_000,
+            expected_work: None,
+            slots: 1.0,
+            retry: false,
+        };
+        let target = PathAndQuery::from_static("/receipt/k");
+        let parcel = Parcel { id: id.to_string(), target, idempotency_key: None, body };
+        let job = Job { request, parcel, settings: self.current.get(), room: None };
+        submit(self.engine.clone(), self.upstream.clone(), Arc::new(Kin::default()), job)
+    }
+
     /// The list as told: name and state of each peer.
     fn list(&self) -> Vec<(String, Lifecycle)> {
         let (instances, _) = self.roster.lock().expect("no panic").whole();
@@ -154,21 +184,8 @@
     let (a, b) = (a.expect("a port"), b.expect("a port"));
     parts.follow(json!([instance("s-a", a.local_addr().unwrap()), instance("s-b", b.local_addr().unwrap())]));
     let id = "00000000000000ab";
-    let request = Request {
-        id: RequestId(0xab),
-        class: ClassId(0),
-        tenant: TenantId(0),
-        key: Some("k".to_string()),
-        due: parts.engine.clock.now() + 60_000_000,
-        expected_work: None,
-        slots: 1.0,
-        retry: false,
-    };
     // No socket's buffers hold the long one.
-    let (target, body) = (PathAndQuery::from_static("/receipt/k"), Bytes::from(vec![b'w'; length]));
-    let parcel = Parcel { id: id.to_string(), target, idempotency_key: None, body };
-    let job = Job { request, parcel, settings: parts.current.get(), room: None };
-    let mut answer = submit(parts.engine.clone(), parts.upstream.clone(), Arc::new(Kin::default()), job);
+    let mut answer = parts.submit(id, Bytes::from(vec![b'w'; length]));
 
     let accept = || async {
         let (accepted, name) =
@@ -204,6 +221,76 @@
     }
 }
 
+/// That a job which must not run twice is sent once is for the module to see to, and for its life to see to again: where the
+/// module sends it on after an attempt that may have run, as it does for a class that it takes for safe, nobody is dialled.
+#[rstest]
+#[case::unsafe_by_the_settings_that_it_was_taken_under(false)]
+#[case::safe_by_both(true)]
+#[timeout(HANG)]
+#[tokio::test]
+async fn an_unsafe_job_that_may_have_run_is_not_written_again_whatever_the_module_says(#[case] safe: bool) {
+    let mut parts = Parts::of(1).await;
+    let (a, b) = (TcpListener::bind("127.0.0.1:0").await, TcpListener::bind("127.0.0.1:0").await);
+    let (a, b) = (a.expect("a port"), b.expect("a port"));
+    parts.follow(json!([instance("s-a", a.local_addr().unwrap()), instance("s-b", b.local_addr().unwrap())]));
+    let mut settings = parts.current.get().settings.clone();
+    settings.classes[0].effect = Effect::Safe;
+    parts.engine.handle(Event::Settings(Box::new(settings.clone())));
+    if safe {
+        parts.adopt(settings);
+    }
+    let mut answer = parts.submit("00000000000000ab", Bytes::from_static(b"work"));
+    let (accepted, other) = tokio::select! { to = a.accept() => (to, &b), to = b.accept() => (to, &a) };
+    let mut first = Wire::new(accepted.expect("a connection").0);
+    first.read().await.expect("the job");
+    first.answer(500, "", "").await.expect("it is read");
+    let dialled = tokio::select! {
+        biased;
+        _ = other.accept() => true,
+        answer = &mut answer => {
+            assert!(!matches!(answer.expect("an answer"), Answer::Served(_)));
+            false
+        }
+    };
+    assert_eq!(dialled, safe);
+}
+
+/// One change answers the watches of all schedulers together, and then all fall silent together: they end apart, by scheduler
+/// and by call, so that discovery is not called by all at once.
+#[rstest]
+#[timeout(HANG)]
+#[tokio::test]
+async fn the_watches_of_schedulers_that_were_answered_together_end_apart() {
+    const SCHEDULERS: usize = 20;
+    let mut all = Vec::new();
+    for me in 0..SCHEDULERS as u32 {
+        // A pushed list is watched at once; how long a call waits is the same for both.
+        let mut parts = Parts::numbered(me, SCHEDULERS as u32, "push").await;
+        parts.follow(json!([]));
+        let (wire, _) = parts.call().await;
+        all.push((wire, parts));
+    }
+    let mut before = vec![0; SCHEDULERS];
+    for generation in 2..5 {
+        let mut waits = Vec::new();
+        for (wire, _) in &mut all {
+            let told = json!({"generation": generation, "reset": false, "instances": []}).to_string();
+            wire.answer(200, "", &told).await.expect("it is read");
+        }
+        for (wire, _) in &mut all {
+            let call = wire.read().await.expect("the watch goes on");
+            let (_, wait) = call.target().split_once("wait=").expect("it waits");
+            waits.push(wait.parse::<u64>().expect("milliseconds"));
+        }
+        assert!(waits.iter().zip(&before).all(|(now, before)| now != before), "{waits:?} after {before:?}");
+        before.clone_from(&waits);
+        waits.sort_unstable();
+        let apart = waits.windows(2).map(|two| two[1] - two[0]).min().expect("many");
+        // Half of what 20 watches would be apart that share the second evenly.
+        assert!(apart >= 25, "{waits:?}");
+    }
+}
+
 /// What a silent watch missed counts as told 6 s after its call, so that it has to be opened anew before that, however many
 /// schedulers share the service. The watch before it was answered: it is one alone, and no herd.
 #[rstest]
