--- a/crates/vetchbridge/tests/crowds.rs
+++ b/crates/vetchbridge/tests/crowds.rs
@@ -127,6 +127,33 @@
     drop(crowd);
 }
 
+/// Where every connection is owed an answer, nobody makes room: a newcomer is closed at once and nothing of it is read, those
+/// that are owed an answer have it, and the next newcomer takes the place of one that has left.
+#[rstest]
+#[timeout(HANG)]
+#[tokio::test]
+async fn a_newcomer_for_whom_nobody_can_be_spared_goes_unheard() {
+    let mut stage = Stage::set(1).await;
+    let mut owed = Vec::new();
+    loop {
+        let (mut client, id) = stage.job("safe", "k").await;
+        tokio::select! {
+            closed = client.read() => {
+                assert_eq!(closed, None, "no word");
+                break;
+            }
+            (_, mut peer) = stage.peer() => {
+                let job = peer.read().await.expect("the job");
+                assert_eq!(job.header("x-trace-id"), Some(id.as_str()), "and not one that was turned away");
+                peer.send("HTTP/1.1 202 Accepted\r\nconnection: close\r\ncontent-length: 0\r\n\r\n").await;
+                peer.closed().await;
+                owed.push((client, id));
+            }
+        }
+    }
+    assert!(owed.len() >= SOCKETS as usize / 4, "{} connections", owed.len());
+}
+
 /// However many requests come at once on one connection, those of others are answered; who sends them and goes has
 /// none of them sent to a peer.
 #[rstest]
--- a/crates/vetchbridge/tests/node.rs
+++ b/crates/vetchbridge/tests/node.rs
@@ -97,6 +97,36 @@
     assert_eq!(status(&client.read().await), if resent { "200" } else { "502" });
 }
 
+/// What a peer says of an attempt that has ended is answered and heeded no more, a result too: the job is out at another peer
+/// by then, and the first attempt may have failed on the way to its end.
+#[rstest]
+#[timeout(HANG)]
+#[tokio::test]
+async fn a_callback_of_an_attempt_that_has_ended_is_answered_and_dropped(
+    #[values("started", "running", "done", "failed", "returned", "lost")] state: &str,
+    #[values(ACCEPTED, "HTTP/1.1 500 Oops\r\ncontent-length: 0\r\n\r\n")] answer: &str,
+) {
+    let mut stage = Stage::set(2).await;
+    let (mut client, id) = stage.job("safe", "k").await;
+    let (first, mut peer) = stage.peer().await;
+    peer.read().await.expect("the job");
+    peer.send(answer).await;
+    if answer == ACCEPTED {
+        stage.call_back(&id, first, "failed").await;
+    }
+    let (second, mut peer) = stage.peer().await;
+    assert_ne!(first, second);
+    peer.read().await.expect("the job again");
+    peer.send(ACCEPTED).await;
+    let mut caller = dial(stage.daemon.address).await;
+    let late = json!({"id": id, "from": format!("s-{first}"), "state": state, "result": "late"}).to_string();
+    caller.hand_in("/callback", "", &late).await;
+    assert_eq!(status(&caller.read().await), "200");
+    stage.call_back(&id, second, "done").await;
+    let answer = client.read().await.expect("an answer");
+    assert_eq!((answer.status(), answer.text().as_str()), ("200", "made"));
+}
+
 /// A connected peer that does not take a job loses it, long before the client's time is up.
 #[rstest]
 #[timeout(HANG)]
