Follow the list on when a reload changes it from pushed to asked for just after a failure

Lists were pushed, a watch had just failed, and a SIGHUP said that from now on they are asked for: the module had been told of the failure while lists were pushed, where it subscribes to nothing, and does nothing at new settings; discovery opened a watch by itself only while lists are pushed. So the list was followed no further until discovery moved. While discovery refuses, nearly every moment is within such a pause.

Whose watch ended while lists were pushed has it opened by discovery now, whatever the rule is by then; the module takes over with the next end.

--- a/crates/vetchbridge/src/list/discovery.rs
+++ b/crates/vetchbridge/src/list/discovery.rs
@@ -155,8 +155,11 @@
         let (mut watch, mut fetch): (Option<Call>, Option<Call>) = (None, None);
         // Of a watch that pushes the list: when to open it.
         let mut reopen = Instant::now();
+        let mut opens = false;
         loop {
-            let opens = watch.is_none() && self.current.get().settings.discovery == Pushed;
+            // Whose watch ended while lists were pushed has it opened here, also if they are to be asked for since: the
+            // module was told of its end while it had nothing to ask for.
+            opens = watch.is_none() && (opens || self.current.get().settings.discovery == Pushed);
             tokio::select! {
                 () = sleep_until(reopen), if opens => watch = Some(self.watch()),
                 ask = asks.recv() => match ask {
--- a/crates/vetchbridge/tests/parts.rs
+++ b/crates/vetchbridge/tests/parts.rs
@@ -358,6 +358,7 @@
 #[case::pushed_from_now_on("ask", "push", true)]
 #[case::pushed_from_a_failure_on("ask", "push", false)]
 #[case::asked_for_from_now_on("push", "ask", true)]
+#[case::asked_for_from_a_failure_on("push", "ask", false)]
 #[timeout(HANG)]
 #[tokio::test(start_paused = true)]
 async fn the_list_is_followed_on_by_the_rule_in_force_after_a_reload(
