Decide an attempt anew when its peer starts anew before the first byte

Discovery told the upstream group of a peer's name, address and state, and not of its start. A peer that started anew under its name and address while an attempt dialled was written to all the same: the job had been decided for a warm process and met a cold one. (For another address the group did give the attempt up, as a connection that failed, which blamed the new process for it.)

The group now hears of starts too (ListedPeer). A peer that is listed with a later start, or another address, is another process: attempts and probes of which no byte has been written end as moot, so that the module decides anew and blames nobody, and idle connections to the old one are closed. What is leaving still ends as a failed connection.

--- a/crates/vetchbridge/src/engine.rs
+++ b/crates/vetchbridge/src/engine.rs
@@ -221,7 +221,7 @@
 mod tests {
     use super::*;
     use crate::config::{file, read_text};
-    use crate::peers::worker_id;
+    use crate::peers::{worker_id, ListedPeer};
     use platform::wire::Wire;
     use tokio::net::TcpListener;
 
@@ -235,7 +235,8 @@
             (TcpListener::bind("127.0.0.1:0").await.expect("a port"), Duration::from_secs(60));
         let upstream = Arc::new(UpstreamGroup::new(minute, minute, 1));
         let (worker, address) = (worker_id("s-0"), listener.local_addr().expect("bound").to_string());
-        let entry = (worker, "s-0", &*address, MemberState::Ready);
+        let (name, state) = ("s-0", MemberState::Ready);
+        let entry = ListedPeer { worker, name, address: &address, state, started: 0 };
         upstream.apply(ListKind::Changes, [entry].into_iter());
         let engine = Engine::new(policy, upstream, unbounded_channel().0, unbounded_channel().0);
         engine.carry(&mut engine.core(), Action::Probe(worker));
--- a/crates/vetchbridge/src/list/discovery.rs
+++ b/crates/vetchbridge/src/list/discovery.rs
@@ -9,7 +9,7 @@
 use crate::engine::Engine;
 use crate::list::ask::Ask;
 use crate::list::listing::{Instance, Listing, Roster, Source};
-use crate::peers::UpstreamGroup;
+use crate::peers::{ListedPeer, UpstreamGroup};
 use crate::snapshot::Current;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
@@ -298,7 +298,13 @@
         let names = &self.current.get().names;
         let members: Vec<Member> = instances.iter().map(|i| i.member(names)).collect();
         let entries = instances.iter().zip(&members);
-        let entries = entries.map(|(i, m)| (m.worker, i.instance_id.as_str(), i.host_port.as_str(), m.state));
+        let entries = entries.map(|(i, m)| ListedPeer {
+            worker: m.worker,
+            name: &i.instance_id,
+            address: &i.host_port,
+            state: m.state,
+            started: m.born,
+        });
         self.upstream.apply(kind, entries);
         self.engine.handle(Event::Members { kind, members });
     }
--- a/crates/vetchbridge/src/peers/mod.rs
+++ b/crates/vetchbridge/src/peers/mod.rs
@@ -26,7 +26,7 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use load::Reports;
-use silverproxy::interface::{ListKind, LoadReport, MemberState, Note, RequestId, Status, WorkerId};
+use silverproxy::interface::{ListKind, LoadReport, MemberState, Micros, Note, RequestId, Status, WorkerId};
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -94,8 +94,53 @@
     name: String,
     address: Authority,
     client: Mutex<PeerClient>,
-    /// False once discovery has told that it drains or is gone.
-    taking: watch::Sender<bool>,
+    /// When its process last started.
+    started: Micros,
+    availability: watch::Sender<Availability>,
+}
+
+/// Whether a peer may still be written to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Availability {
+    Ready,
+    /// It drains or is gone.
+    Leaving,
+    /// Another process goes by its name: what was decided for this one holds no more.
+    Replaced,
+}
+
+impl Availability {
+    fn of(state: MemberState) -> Availability {
+        if state == MemberState::Ready {
+            Availability::Ready
+        } else {
+            Availability::Leaving
+        }
+    }
+
+    /// How an attempt ends of which no byte has been written yet.
+    fn ends_unwritten(self) -> Option<Status> {
+        match self {
+            Availability::Ready => None,
+            Availability::Leaving => Some(Status::ConnectFailed),
+            Availability::Replaced => Some(Status::Moot),
+        }
+    }
+}
+
+/// What discovery tells of a peer.
+#[derive(Clone, Copy, Debug)]
+pub struct ListedPeer<'a> {
+    /// Its number with the module.
+    pub worker: WorkerId,
+    /// Its name.
+    pub name: &'a str,
+    /// Host and port.
+    pub address: &'a str,
+    /// Its state.
+    pub state: MemberState,
+    /// When its process last started; 0 for long past.
+    pub started: Micros,
 }
 
 /// See the head of this file.
@@ -163,45 +208,45 @@
         }
     }
 
-    /// Follows discovery's news: for each peer its name, address and state.
-    pub fn apply<'a>(
-        &self,
-        kind: ListKind,
-        entries: impl Iterator<Item = (WorkerId, &'a str, &'a str, MemberState)>,
-    ) {
+    /// Follows discovery's news.
+    pub fn apply<'a>(&self, kind: ListKind, entries: impl Iterator<Item = ListedPeer<'a>>) {
         let peers = &mut *lock(&self.peers);
         let mut missing: Vec<WorkerId> = match kind {
             ListKind::Full | ListKind::Saved => peers.keys().copied().collect(),
             ListKind::Changes | ListKind::Failed => Vec::new(),
         };
-        for (worker, name, address, state) in entries {
+        for ListedPeer { worker, name, address, state, started } in entries {
             missing.retain(|known| *known != worker);
             if state == MemberState::Gone {
                 missing.push(worker);
                 continue;
             }
             let known = peers.get(&worker);
+            let same = |address: &Authority| {
+                known.is_some_and(|peer| peer.address == *address && peer.started >= started)
+            };
             let address = match address.parse::<Authority>() {
-                Ok(address) => Some(address).filter(|new| known.is_none_or(|peer| peer.address != *new)),
+                Ok(address) => Some(address).filter(|address| !same(address)),
                 Err(error) => {
                     warn!(peer = name, address, %error, "peer.unreachable");
                     None
                 }
             };
             if let Some(address) = address {
-                let (taking, client) = (watch::Sender::new(true), Mutex::new(self.client()));
-                let peer = Arc::new(Peer { name: name.to_string(), address, client, taking });
+                let (availability, client) =
+                    (watch::Sender::new(Availability::Ready), Mutex::new(self.client()));
+                let peer = Arc::new(Peer { name: name.to_string(), address, client, started, availability });
                 if let Some(old) = peers.insert(worker, peer) {
-                    old.taking.send_replace(false);
+                    old.availability.send_replace(Availability::Replaced);
                 }
             }
             if let Some(peer) = peers.get(&worker) {
-                peer.taking.send_replace(state == MemberState::Ready);
+                peer.availability.send_replace(Availability::of(state));
             }
         }
         for worker in missing {
             if let Some(peer) = peers.remove(&worker) {
-                peer.taking.send_replace(false);
+                peer.availability.send_replace(Availability::Leaving);
             }
         }
     }
@@ -251,16 +296,16 @@
         let Some(peer) = lock(&self.peers).get(&worker).cloned() else {
             return (Status::ConnectFailed, None);
         };
-        let mut taking = peer.taking.subscribe();
-        if !*taking.borrow_and_update() {
-            return (Status::ConnectFailed, None);
+        let mut availability = peer.availability.subscribe();
+        if let Some(status) = availability.borrow_and_update().ends_unwritten() {
+            return (status, None);
         }
         let until = tokio::time::sleep(PROBE_WAIT);
         tokio::pin!(until);
         let mut unwritten = true;
         let may_begin = Box::new({
-            let taking = taking.clone();
-            move || *taking.borrow()
+            let availability = availability.clone();
+            move || *availability.borrow() == Availability::Ready
         });
         let Exchange { seen, answer } =
             peer.exchange(Method::GET, &PathAndQuery::from_static("/stats"), None, may_begin);
@@ -273,10 +318,10 @@
         let answered = loop {
             tokio::select! {
                 biased;
-                _ = taking.wait_for(|taking| !taking), if unwritten => {
+                status = no_longer_available(&mut availability), if unwritten => {
                     unwritten = false;
                     if !seen.begun() {
-                        return (Status::ConnectFailed, None);
+                        return (status, None);
                     }
                 }
                 answered = &mut whole => break answered,
@@ -322,11 +367,11 @@
         let begin_by = Instant::now() + begin_within.min(wait);
         let until = tokio::time::sleep(wait);
         tokio::pin!(until);
-        let mut taking = peer.taking.subscribe();
+        let mut availability = peer.availability.subscribe();
         let wanted = move || Instant::now() < begin_by && !over.load(Ordering::Relaxed);
         let may_begin = Box::new({
-            let (taking, wanted) = (taking.clone(), wanted.clone());
-            move || *taking.borrow() && wanted()
+            let (availability, wanted) = (availability.clone(), wanted.clone());
+            move || *availability.borrow() == Availability::Ready && wanted()
         });
         let Exchange { seen, mut answer } =
             peer.exchange(Method::POST, &parcel.target, Some((parcel, wait)), may_begin);
@@ -347,11 +392,11 @@
                     peer.give_up(accepted, &parcel.id);
                     return not(if begun { Status::Cancelled } else { Status::Moot });
                 }
-                // Told to leave while the attempt waits for its first byte: not one may go there now.
-                _ = taking.wait_for(|taking| !taking), if unwritten => {
+                // Told to leave, or started anew, while the attempt waits for its first byte: not one may go there now.
+                status = no_longer_available(&mut availability), if unwritten => {
                     unwritten = false;
                     if !seen.begun() {
-                        return not(Status::ConnectFailed);
+                        return not(status);
                     }
                 }
                 Some(call) = inbox.calls.recv() => {
@@ -423,6 +468,15 @@
     }
 }
 
+/// Resolves once a peer may not be written to any more; how an attempt ends then of which no byte has been written.
+async fn no_longer_available(availability: &mut watch::Receiver<Availability>) -> Status {
+    // The sender lives as long as the peer, which the caller holds.
+    match availability.wait_for(|now| *now != Availability::Ready).await {
+        Ok(now) => now.ends_unwritten().unwrap_or(Status::ConnectFailed),
+        Err(_) => Status::ConnectFailed,
+    }
+}
+
 /// Whether an answer finds fault with the request itself. 408 and 429 tell of the peer's time and load.
 fn blames_request(status: StatusCode) -> bool {
     status.is_client_error()
@@ -442,7 +496,10 @@
         let address = listener.local_addr().expect("bound").to_string();
         let group = UpstreamGroup::new(Duration::from_secs(60), Duration::from_secs(60), 1);
         let worker = worker_id("s-1");
-        let tell = |state| group.apply(ListKind::Changes, [(worker, "s-1", &*address, state)].into_iter());
+        let tell = |state| {
+            let entry = ListedPeer { worker, name: "s-1", address: &address, state, started: 0 };
+            group.apply(ListKind::Changes, [entry].into_iter());
+        };
         tell(MemberState::Ready);
         let (id, target) = ("00000000000000ab".to_string(), PathAndQuery::from_static("/safe/k"));
         let parcel = Parcel { id, target, idempotency_key: None, body: Bytes::from_static(b"work") };
--- a/crates/vetchbridge/tests/cut_answers.rs
+++ b/crates/vetchbridge/tests/cut_answers.rs
@@ -16,7 +16,7 @@
 use std::time::Duration;
 use tokio::sync::oneshot;
 use tokio::task::spawn_blocking;
-use vetchbridge::peers::{worker_id, Callback, Ended, Parcel, Terms, UpstreamGroup};
+use vetchbridge::peers::{worker_id, Callback, Ended, ListedPeer, Parcel, Terms, UpstreamGroup};
 
 const MINUTE: Duration = Duration::from_secs(60);
 const ID: &str = "00000000000000ab";
@@ -68,7 +68,9 @@
         let (listener, worker) = (TcpListener::bind("127.0.0.1:0").expect("a port"), worker_id("s-0"));
         let group = UpstreamGroup::new(dial, MINUTE, 1);
         let address = listener.local_addr().expect("bound").to_string();
-        group.apply(ListKind::Changes, [(worker, "s-0", &*address, MemberState::Ready)].into_iter());
+        let (name, state) = ("s-0", MemberState::Ready);
+        let entry = ListedPeer { worker, name, address: &address, state, started: 0 };
+        group.apply(ListKind::Changes, [entry].into_iter());
         Stage { group, listener, worker }
     }
 
--- a/crates/vetchbridge/tests/late_connections.rs
+++ b/crates/vetchbridge/tests/late_connections.rs
@@ -22,7 +22,7 @@
 use tokio::sync::oneshot;
 use vetchbridge::config::read_text;
 use vetchbridge::engine::Engine;
-use vetchbridge::peers::{worker_id, Callback, Ended, Parcel, Terms, UpstreamGroup};
+use vetchbridge::peers::{worker_id, Callback, Ended, ListedPeer, Parcel, Terms, UpstreamGroup};
 use vetchbridge::request::{submit, Answer, Job};
 use vetchbridge::upgrade::kin::Kin;
 
@@ -53,9 +53,9 @@
     }
 }
 
-fn tell(group: &UpstreamGroup, narrow: &Narrow, state: MemberState) {
-    let entry = (worker_id("s-0"), "s-0", &*narrow.address.to_string(), state);
-    group.apply(ListKind::Changes, [entry].into_iter());
+fn tell(group: &UpstreamGroup, narrow: &Narrow, state: MemberState, started: Micros) {
+    let (worker, name, address) = (worker_id("s-0"), "s-0", &*narrow.address.to_string());
+    group.apply(ListKind::Changes, [ListedPeer { worker, name, address, state, started }].into_iter());
 }
 
 fn parcel(id: &str) -> Parcel {
@@ -74,6 +74,7 @@
     RequestOver,
     TimeUp,
     Drains,
+    StartsAnew,
     ReturnedBefore,
     DoneBefore,
 }
@@ -85,6 +86,7 @@
 #[case::nobody_waits_any_more(Change::RequestOver, Ended::Not(Status::Moot))]
 #[case::the_time_is_up(Change::TimeUp, Ended::Not(Status::Moot))]
 #[case::the_peer_drains(Change::Drains, Ended::Not(Status::ConnectFailed))]
+#[case::the_peer_starts_anew(Change::StartsAnew, Ended::Not(Status::Moot))]
 #[case::an_earlier_attempt_is_handed_back(Change::ReturnedBefore, Ended::Served("made".into()))]
 #[case::an_earlier_attempt_is_done(Change::DoneBefore, Ended::Served("made".into()))]
 #[timeout(HANG)]
@@ -92,7 +94,7 @@
 async fn a_late_connection_carries_only_what_still_holds(#[case] change: Change, #[case] expected: Ended) {
     const ID: &str = "00000000000000ab";
     let (narrow, group) = (Narrow::open(), UpstreamGroup::new(MINUTE, MINUTE, 1));
-    tell(&group, &narrow, MemberState::Ready);
+    tell(&group, &narrow, MemberState::Ready, 0);
     let _filler = narrow.fill().await;
     let mut terms = Terms::within(MINUTE);
     if change == Change::TimeUp {
@@ -106,7 +108,8 @@
     match change {
         Change::Nothing | Change::TimeUp => {}
         Change::RequestOver => over.store(true, Ordering::Relaxed),
-        Change::Drains => tell(&group, &narrow, MemberState::Draining),
+        Change::Drains => tell(&group, &narrow, MemberState::Draining, 0),
+        Change::StartsAnew => tell(&group, &narrow, MemberState::Ready, 1),
         Change::ReturnedBefore => assert!(group.called_back(&callback(ID, "returned"))),
         Change::DoneBefore => assert!(group.called_back(&callback(ID, "done"))),
     }
@@ -124,7 +127,7 @@
     tokio::pin!(peer);
     match change {
         // The dial goes with the attempt: there is no connection to wait for.
-        Change::Drains | Change::DoneBefore => {
+        Change::Drains | Change::StartsAnew | Change::DoneBefore => {
             tokio::select! {
                 biased;
                 (ended, _) = attempt => assert_eq!(ended, expected),
@@ -154,7 +157,7 @@
 #[tokio::test]
 async fn a_late_connection_is_not_written_to_for_a_request_that_is_gone() {
     let (narrow, group) = (Narrow::open(), UpstreamGroup::new(MINUTE, MINUTE, 1));
-    tell(&group, &narrow, MemberState::Ready);
+    tell(&group, &narrow, MemberState::Ready, 0);
     let _filler = narrow.fill().await;
     let (first, second) = (parcel("00000000000000ab"), parcel("00000000000000cd"));
     let ((cancel, cancelled), (_keep, kept)) = (oneshot::channel(), oneshot::channel());
@@ -200,7 +203,10 @@
     let peers = [Narrow::open(), Narrow::open()];
     let (names, ready) = (["s-0", "s-1"], MemberState::Ready);
     let addresses = peers.each_ref().map(|peer| peer.address.to_string());
-    let entries = (0..2).map(|n| (worker_id(names[n]), names[n], &*addresses[n], ready));
+    let entries = names.iter().zip(&addresses).map(|(name, address)| {
+        let worker = worker_id(name);
+        ListedPeer { worker, name, address, state: ready, started: 0 }
+    });
     upstream.apply(ListKind::Full, entries);
     let member = |name| Member {
         worker: worker_id(name),
--- a/crates/vetchbridge/tests/parts.rs
+++ b/crates/vetchbridge/tests/parts.rs
@@ -13,7 +13,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::io::AsyncReadExt;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
 use tokio::sync::oneshot;
 use tokio::time::{timeout, Instant};
@@ -291,6 +291,39 @@
     }
 }
 
+/// A peer starts anew under its name and address while a job waits for a connection to it: the new process is cold, so the
+/// job, which nobody has had yet, is decided anew at once, and goes where there is room.
+#[rstest]
+#[timeout(HANG)]
+#[tokio::test]
+async fn a_job_that_waits_for_a_connection_is_decided_anew_when_its_peer_starts_anew() {
+    let mut parts = Parts::of(1).await;
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a port");
+    // Room for one connection, which is taken: no other comes up.
+    let full = socket.listen(0).expect("it listens");
+    let full_address = full.local_addr().expect("bound");
+    let _filler = TcpStream::connect(full_address).await.expect("there is room for one");
+    let warm = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    parts.follow(json!([]));
+    let (mut watch, _) = parts.call().await;
+    let list = |generation: u32, listed: Value| {
+        json!({"generation": generation, "reset": false, "instances": listed}).to_string()
+    };
+    watch.answer(200, "", &list(2, json!([instance("s-a", full_address)]))).await.expect("it is read");
+    watch.read().await.expect("the watch goes on");
+    let _answer = parts.submit("00000000000000ab", Bytes::from_static(b"work"));
+    while parts.upstream.connections().get() == 0 {
+        tokio::task::yield_now().await;
+    }
+    let mut anew = instance("s-a", full_address);
+    anew["startedAtMs"] = (parts.engine.clock.now() / 1000).into();
+    let listed = json!([anew, instance("s-b", warm.local_addr().expect("bound"))]);
+    watch.answer(200, "", &list(3, listed)).await.expect("it is read");
+    let mut peer = Wire::new(warm.accept().await.expect("a connection").0);
+    assert_eq!(peer.read().await.expect("the job").header("x-trace-id"), Some("00000000000000ab"));
+}
+
 /// What a silent watch missed counts as told 6 s after its call, so that it has to be opened anew before that, however many
 /// schedulers share the service. The watch before it was answered: it is one alone, and no herd.
 #[rstest]
--- a/crates/vetchbridge/tests/probes.rs
+++ b/crates/vetchbridge/tests/probes.rs
@@ -12,7 +12,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::oneshot;
 use vetchbridge::peers::load::{FreeSlots, Reports};
-use vetchbridge::peers::{worker_id, Callback, Ended, Parcel, Terms, UpstreamGroup};
+use vetchbridge::peers::{worker_id, Callback, Ended, ListedPeer, Parcel, Terms, UpstreamGroup};
 
 /// A story that stands still fails; none of them measures time.
 const HANG: Duration = Duration::from_secs(60);
@@ -27,7 +27,8 @@
 }
 
 fn tell(group: &UpstreamGroup, address: SocketAddr, state: MemberState) {
-    let entry = (worker_id("s-0"), "s-0", &*address.to_string(), state);
+    let (worker, name, address) = (worker_id("s-0"), "s-0", &*address.to_string());
+    let entry = ListedPeer { worker, name, address, state, started: 0 };
     group.apply(ListKind::Changes, [entry].into_iter());
 }
 
