--- a/crates/vetchbridge/src/list/discovery.rs
+++ b/crates/vetchbridge/src/list/discovery.rs
@@ -9,7 +9,7 @@
 use crate::engine::Engine;
 use crate::list::ask::Ask;
 use crate::list::listing::{Instance, Listing, Roster, Source};
-use crate::peers::UpstreamGroup;
+use crate::peers::{ListedPeer, UpstreamGroup};
 use crate::snapshot::Current;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
@@ -173,8 +173,11 @@
         let (mut watch, mut fetch): (Option<Call>, Option<Call>) = (None, None);
         // Of a watch that pushes the list: when to open it.
         let mut reopen = Instant::now();
+        let mut opens = false;
         loop {
-            let opens = watch.is_none() && self.current.get().settings.discovery == Pushed;
+            // Whose watch ended while lists were pushed has it opened here, also if they are to be asked for since: the
+            // module was told of its end while it had nothing to ask for.
+            opens = watch.is_none() && (opens || self.current.get().settings.discovery == Pushed);
             tokio::select! {
                 () = sleep_until(reopen), if opens => watch = Some(self.watch()),
                 ask = asks.recv() => match ask {
@@ -313,7 +316,13 @@
         let names = &self.current.get().names;
         let members: Vec<Member> = instances.iter().map(|i| i.member(names)).collect();
         let entries = instances.iter().zip(&members);
-        let entries = entries.map(|(i, m)| (m.worker, i.instance_id.as_str(), i.host_port.as_str(), m.state));
+        let entries = entries.map(|(i, m)| ListedPeer {
+            worker: m.worker,
+            name: &i.instance_id,
+            address: &i.host_port,
+            state: m.state,
+            started: m.born,
+        });
         self.upstream.apply(kind, entries);
         self.engine.handle(Event::Members { kind, members });
     }
--- a/crates/vetchbridge/tests/large_fleet.rs
+++ b/crates/vetchbridge/tests/large_fleet.rs
@@ -28,7 +28,7 @@
 use tokio::time::sleep;
 use vetchbridge::config::read_text;
 use vetchbridge::list::listing::Instance;
-use vetchbridge::peers::{request_id, worker_id, Ended, Parcel, Terms, UpstreamGroup};
+use vetchbridge::peers::{request_id, worker_id, Ended, ListedPeer, Parcel, Terms, UpstreamGroup};
 use vetchbridge::upgrade::words::{in_messages, Word, LONGEST};
 
 const WORKERS: usize = 1200;
@@ -393,8 +393,9 @@
     for number in 0..=BESIDE {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let (name, address) = (worker_name(number, 0), listener.local_addr().expect("bound").to_string());
-        let listed = [(worker_id(&name), name.as_str(), address.as_str(), MemberState::Ready)];
-        group.apply(ListKind::Changes, listed.into_iter());
+        let (worker, state) = (worker_id(&name), MemberState::Ready);
+        let listed = ListedPeer { worker, name: &name, address: &address, state, started: 0 };
+        group.apply(ListKind::Changes, std::iter::once(listed));
         tokio::spawn(turn_away(number, listener, heard.clone()));
     }
     // Worker 0 is used again after each of the others, which are used once.
