Spread the first calls of a start over 2 s, as fast as discovery serves them

Change: ASK_SPREAD is 30 ms a scheduler and 2 s at most, before 60 ms and 4 s. Tests of the module pass.

--- a/crates/silverproxy/src/policy.rs
+++ b/crates/silverproxy/src/policy.rs
@@ -78,7 +78,7 @@
 const ASK_PAUSE: Micros = 500_000;
 /// All share one discovery: first calls are spread over this for each dispatcher, up to the second figure;
 /// after failures each calls about as often as the third says: news is due 6 s after discovery is back.
-const ASK_SPREAD: (Micros, Micros, Micros) = (60_000, 4_000_000, 2_000_000);
+const ASK_SPREAD: (Micros, Micros, Micros) = (30_000, 2_000_000, 2_000_000);
 /// A saved list may name workers that left: nothing is sent until discovery answers, or for so long at most.
 pub const CONFIRM_WITHIN: Micros = 5_000_000;
 const TIMER_REQUEST: u64 = 0;
