Add a preloaded library of failing system calls, and three tests that fail with it

Nothing in the project could make them fail.

Change: crates/syscall-faults, a library for LD_PRELOAD that fails calls by a seed: EINTR, short reads and writes, broken connections, stalls before a write, failing accept, connect, socket, epoll_wait, datagrams, file writes and syncs, and a wall clock that is stepped. The n-th call of a kind fails or not by seed, kind and n alone; faults are counted in a file.

Reads that are interrupted: the client's connection is closed with no answer (`an answer` missing at the first job). Short reads: stuck until the test's 20 s. SIGHUP while reads are interrupted: the process ends (`it runs`), since the runtime's signal driver panics on any error of its own pipe but EAGAIN. Starts: seeds 3 to 8 of 8 end with exit code 3, `Too many open files in system (os error 23)`.

--- /dev/null
+++ b/crates/syscall-faults/tests/preload.rs
@@ -0,0 +1,73 @@
+//! The library in a real process: this test program starts itself again with the library preloaded.
+
+use std::io::{ErrorKind, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::Command;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+fn library() -> PathBuf {
+    let program = std::env::current_exe().expect("this program has a path");
+    program.with_file_name("libsyscall_faults.so")
+}
+
+/// Runs one of the ignored tests below with these faults; how often each was made.
+fn with_faults(test: &str, faults: &str) -> Vec<u64> {
+    let folder = std::env::temp_dir().join(format!("syscall-faults-{}-{test}", std::process::id()));
+    let status = Command::new(std::env::current_exe().expect("this program has a path"))
+        .args(["--ignored", "--exact", test])
+        .env("LD_PRELOAD", library())
+        .env("SYSCALL_FAULTS", faults)
+        .env("SYSCALL_FAULTS_COUNTS", &folder)
+        .status();
+    assert!(status.expect("it runs").success(), "{test} with {faults}");
+    let counts = std::fs::read(&folder).expect("the counts");
+    std::fs::remove_file(&folder).expect("removed");
+    counts.chunks_exact(8).map(|count| u64::from_le_bytes(count.try_into().expect("8 bytes"))).collect()
+}
+
+fn pair() -> (TcpStream, TcpStream) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let client = TcpStream::connect(listener.local_addr().expect("bound")).expect("connected");
+    (client, listener.accept().expect("accepted").0)
+}
+
+#[test]
+fn reads_are_interrupted_and_cut_short_and_lose_nothing() {
+    let counts = with_faults("child_reads", "seed=1,recv.interrupted=0.5,recv.short=0.5");
+    assert!(counts[0] > 0 && counts[1] > 0, "{counts:?}");
+}
+
+#[test]
+#[ignore = "run by the test above"]
+fn child_reads() {
+    let (mut client, mut server) = pair();
+    let sent: Vec<u8> = (0..=255).collect();
+    client.write_all(&sent).expect("written");
+    drop(client);
+    let (mut got, mut interrupted, mut piece) = (Vec::new(), 0, [0; 256]);
+    loop {
+        match server.read(&mut piece) {
+            Ok(0) => break,
+            Ok(read) => got.extend_from_slice(&piece[..read]),
+            Err(error) if error.kind() == ErrorKind::Interrupted => interrupted += 1,
+            Err(error) => panic!("{error}"),
+        }
+    }
+    assert!(interrupted > 0);
+    assert_eq!(got, sent);
+}
+
+#[test]
+fn the_wall_clock_is_stepped() {
+    assert_eq!(with_faults("child_clock", "clock.step=-3600").last(), Some(&1));
+}
+
+#[test]
+#[ignore = "run by the test above"]
+fn child_clock() {
+    let here = SystemTime::now().duration_since(UNIX_EPOCH).expect("after 1970").as_secs();
+    let there = Command::new("date").arg("+%s").env_remove("LD_PRELOAD").output().expect("date runs");
+    let there: u64 = String::from_utf8_lossy(&there.stdout).trim().parse().expect("seconds");
+    assert!((3590..=3610).contains(&(there - here)), "{there} {here}");
+}
--- a/crates/vetchbridge/tests/common/mod.rs
+++ b/crates/vetchbridge/tests/common/mod.rs
@@ -129,6 +129,11 @@
 
 /// The daemon about to start, and the path of its configuration.
 pub fn daemon(config: &str) -> (Command, PathBuf) {
+    daemon_with_faults(config, "")
+}
+
+/// The same with system calls that fail, in the form of `SYSCALL_FAULTS`.
+pub fn daemon_with_faults(config: &str, faults: &str) -> (Command, PathBuf) {
     static FILES: AtomicU32 = AtomicU32::new(0);
     let number = FILES.fetch_add(1, Ordering::Relaxed);
     let name = format!("{}-{number}.json", std::process::id());
@@ -137,11 +142,20 @@
     let told: Value = serde_json::from_str(config).unwrap_or_default();
     let sockets = told["limits"]["sockets"].as_u64().unwrap_or(SOCKETS.into());
     let mut command = Command::new("sh");
-    command.args(["-c", &format!("ulimit -n {sockets}; exec {}", env!("CARGO_BIN_EXE_vetchbridge"))]);
+    let preload = if faults.is_empty() { String::new() } else { preload(faults) };
+    command
+        .args(["-c", &format!("ulimit -n {sockets}; exec {preload} {}", env!("CARGO_BIN_EXE_vetchbridge"))]);
     command.env_clear().env("BALANCER_CONFIG", &path).stderr(Stdio::piped());
     (command, path)
 }
 
+/// The words before a command whose system calls are to fail.
+fn preload(faults: &str) -> String {
+    let library = std::env::current_exe().expect("a path").with_file_name("libsyscall_faults.so");
+    assert!(library.is_file(), "{}: built with the tests of the workspace", library.display());
+    format!("env LD_PRELOAD={} SYSCALL_FAULTS={faults}", library.display())
+}
+
 /// One process of the daemon; killed when dropped.
 pub struct Process {
     pub child: Child,
@@ -161,7 +175,12 @@
 impl Process {
     /// Starts one and waits until it listens; `folder` is where it finds a predecessor.
     pub fn start(config: &Value, folder: &Path) -> Process {
-        let (mut command, path) = daemon(&config.to_string());
+        Process::start_with_faults(config, folder, "")
+    }
+
+    /// The same with system calls that fail, in the form of `SYSCALL_FAULTS`.
+    pub fn start_with_faults(config: &Value, folder: &Path, faults: &str) -> Process {
+        let (mut command, path) = daemon_with_faults(&config.to_string(), faults);
         // As on the platform: the variable is as old as the process, and must not outlive a reload.
         let told = config["discovery"].as_str().expect("an address");
         command.env("BALANCER_DISCOVERY", told).env("TMPDIR", folder);
@@ -261,6 +280,15 @@
 
     /// The daemon may hold so many descriptors.
     pub async fn limited(peers: usize, others: &[SocketAddr], sockets: u32) -> Stage {
+        Stage::set_all(peers, others, sockets, "").await
+    }
+
+    /// System calls of the daemon fail, in the form of `SYSCALL_FAULTS`.
+    pub async fn with_faults(peers: usize, faults: &str) -> Stage {
+        Stage::set_all(peers, &[], SOCKETS, faults).await
+    }
+
+    async fn set_all(peers: usize, others: &[SocketAddr], sockets: u32, faults: &str) -> Stage {
         let listener = || async { TcpListener::bind("127.0.0.1:0").await.expect("a port") };
         let discovery = listener().await;
         let mut listeners = Vec::new();
@@ -273,7 +301,7 @@
         let folder = tempfile::tempdir().expect("a folder");
         let mut config = config(discovery.local_addr().unwrap(), known.clone().into());
         config["limits"]["sockets"] = sockets.into();
-        let mut daemon = Process::start(&config, folder.path());
+        let mut daemon = Process::start_with_faults(&config, folder.path(), faults);
         confirm_list(&discovery).await;
         daemon.logs("serving").await;
         Stage { daemon, folder, known, discovery, peers: listeners, next_id: 0xab00 }
--- /dev/null
+++ b/crates/vetchbridge/tests/syscall_faults.rs
@@ -0,0 +1,96 @@
+//! System calls of the daemon fail in the ways that Linux documents, from a seed: what is owed is owed all the same.
+#![allow(missing_docs)]
+
+mod common;
+
+use common::*;
+use platform::wire::Wire;
+use rstest::rstest;
+use serde_json::json;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::time::timeout;
+
+/// Far more than a job takes here, and less than its deadline.
+const STUCK: Duration = Duration::from_secs(20);
+
+/// Jobs handed in to one daemon, one after another on one connection, then each on its own.
+const JOBS: usize = 40;
+
+/// Faults of reads and writes, alone and together.
+const TRANSFERS: [&str; 5] = [
+    "recv.interrupted=0.2",
+    "send.interrupted=0.2",
+    "recv.short=0.5",
+    "send.short=0.5",
+    "recv.interrupted=0.1,send.interrupted=0.1,recv.short=0.3,send.short=0.3,wait.interrupted=0.1",
+];
+
+/// A call that was interrupted, or moved fewer bytes than it was asked to, is no end and no pause: the next one goes on.
+#[tokio::test]
+async fn no_job_is_lost_to_calls_that_are_interrupted_or_cut_short() {
+    for faults in TRANSFERS {
+        timeout(STUCK, jobs_are_served(faults)).await.unwrap_or_else(|_| panic!("stuck: {faults}"));
+    }
+}
+
+async fn jobs_are_served(faults: &str) {
+    let mut stage = Stage::with_faults(1, &format!("seed=11,{faults}")).await;
+    let mut kept = dial(stage.daemon.address).await;
+    for number in 0..JOBS {
+        let id = format!("{:016x}", 0xfa00 + number);
+        let headers = format!("X-Trace-Id: {id}\r\nX-Qos: safe\r\n");
+        kept.hand_in("/safe/k", &headers, &"work ".repeat(300)).await;
+        let job = async {
+            // The daemon keeps its connection to the peer, or makes another one.
+            let mut peer = Wire::new(stage.peers[0].accept().await.expect("a connection").0);
+            let heard = peer.read().await.expect("the job");
+            peer.send("HTTP/1.1 202 Accepted\r\nconnection: close\r\ncontent-length: 0\r\n\r\n").await;
+            heard
+        };
+        let heard = job.await;
+        assert_eq!((heard.header("x-trace-id"), heard.body.len()), (Some(id.as_str()), 1500), "{faults}");
+        stage.call_back(&id, 0, "done").await;
+        assert_eq!(status(&kept.read().await), "200", "{faults}: job {number} on a kept connection");
+        let (mut client, id) = stage.job("safe", "k").await;
+        stage.serve_next(&id).await;
+        assert_eq!(status(&client.read().await), "200", "{faults}: job {number} on its own");
+    }
+    assert_eq!(stage.daemon.operate("health").await, "ok serving\n");
+}
+
+/// The runtime's own reading of a signal is a call that may be interrupted as any other.
+#[rstest]
+#[timeout(STUCK)]
+#[tokio::test]
+async fn signals_are_heard_although_reads_are_interrupted() {
+    let mut stage = Stage::with_faults(1, "seed=3,recv.interrupted=0.5").await;
+    for _ in 0..20 {
+        stage.daemon.signal("-HUP");
+        stage.daemon.logs("configuration.read").await;
+    }
+    stage.daemon.signal("-TERM");
+    stage.daemon.logs("daemon.ended").await;
+    assert!(stage.daemon.child.wait().expect("it ends").success());
+}
+
+/// What the machine can't give in this moment it may give in the next: a start that has time left tries again.
+#[tokio::test]
+async fn a_start_outlasts_sockets_that_can_t_be_had_for_a_moment() {
+    for seed in 1..=8 {
+        timeout(STUCK, starts(seed)).await.unwrap_or_else(|_| panic!("stuck: seed {seed}"));
+    }
+}
+
+async fn starts(seed: u32) {
+    let discovery = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let siblings = std::net::UdpSocket::bind("127.0.0.1:0").expect("a port").local_addr().expect("bound");
+    let mut config = config(discovery.local_addr().expect("bound"), json!([]));
+    config["peer_listen"] = siblings.to_string().into();
+    config["peers"] = json!([siblings.to_string()]);
+    let folder = tempfile::tempdir().expect("a folder");
+    let faults = format!("seed={seed},socket.failed=0.5,connect.failed=0.3");
+    let mut process = Process::start_with_faults(&config, folder.path(), &faults);
+    process.logs("serving").await;
+    assert_eq!(process.operate("health").await, "ok serving\n");
+}
