Go on after interrupted and short system calls; keep signals and starts through them

Cause, each read in the sources and then forced by a test of its own: - EINTR: no layer between the socket and hyper makes the call again; hyper ends the connection, and its request is lost. - Short reads and writes: the runtime clears a socket's readiness after a call that moved fewer bytes than asked for (poll_evented.rs, `if 0 < n && n < len`) and waits for an edge that never comes, since bytes or room were there already. - SIGHUP or SIGTERM while reads are interrupted ended the process: the runtime's signal driver panics on every error of its own pipe but EAGAIN (`Bad read on self-pipe`). Ruled out: `epoll_wait` (EINTR is passed over by the runtime), accept (tried again).

Change: `net::RetryingStream` makes each call itself, clears readiness on EAGAIN alone and tries again on EINTR; clients', peers', discovery's and operators' connections are such streams, the hand-over's raw calls retry EINTR, and so does the last look at a connection before a request's first byte. `signals` keeps signals by a flag and a pipe of its own, with a regular look each 0.1 s. `net::retry_for` tries what a start needs for 5 s wherever the failure may pass (EMFILE, ENFILE, ENOBUFS, ENOMEM, EADDRNOTAVAIL, ...).

--- a/crates/vetchbridge/src/cli.rs
+++ b/crates/vetchbridge/src/cli.rs
@@ -2,7 +2,9 @@
 
 use crate::config::{self, file, Config, Effective, Flags};
 use crate::logs::{LogFormat, Logs};
+use crate::net::retry_blocking;
 use crate::serve;
+use crate::signals::CaughtSignals;
 use clap::{Args, CommandFactory, Parser, Subcommand};
 use serde_json::Value;
 use std::io::{self, Write};
@@ -10,7 +12,6 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 use tokio::runtime::{self, Runtime};
-use tokio::signal::unix::{signal, Signal, SignalKind};
 
 const EXAMPLES: &str = "\
 Examples:
@@ -149,7 +150,7 @@
         }
     };
     let ended = match prepared {
-        Ok((runtime, _hangup)) => runtime.block_on(serve::run(config, flags, logs)),
+        Ok((runtime, signals)) => runtime.block_on(serve::run(config, flags, logs, signals)),
         Err(error) => Err(error.into()),
     };
     match ended {
@@ -161,16 +162,13 @@
     }
 }
 
-/// The runtime, with SIGHUP caught from here on. Until the daemon listens for it, one that comes is kept by the runtime,
-/// which tells of signals only when it first waits; uncaught, it would end the process while its configuration is read.
-fn prepare_runtime() -> io::Result<(Runtime, Signal)> {
+/// The runtime, with the signals caught before it. Uncaught, one that comes while the configuration is read would end the
+/// process.
+fn prepare_runtime() -> io::Result<(Runtime, CaughtSignals)> {
+    let signals = retry_blocking("signals", CaughtSignals::catch)?;
     // One core is all there is: one thread, and no locks ever waited for.
-    let runtime = runtime::Builder::new_current_thread().enable_all().build()?;
-    let hangup = {
-        let _context = runtime.enter();
-        signal(SignalKind::hangup())?
-    };
-    Ok((runtime, hangup))
+    let runtime = retry_blocking("runtime", || runtime::Builder::new_current_thread().enable_all().build())?;
+    Ok((runtime, signals))
 }
 
 fn check(files: &[PathBuf], json: bool) -> ExitCode {
--- a/crates/vetchbridge/src/clients/connection.rs
+++ b/crates/vetchbridge/src/clients/connection.rs
@@ -6,13 +6,13 @@
 
 use super::framing::{Watch, HEAD_LIMIT};
 use super::lock;
+use crate::net::RetryingStream;
 use std::io;
 use std::pin::Pin;
 use std::sync::{Arc, Mutex};
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf};
-use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::{timeout, Instant};
 
@@ -310,9 +310,9 @@
 /// is out sees of what follows only the end. It would take no notice of that end with a byte of another request in hand.
 pub struct Watched {
     /// The socket.
-    pub stream: TcpStream,
+    pub(super) stream: RetryingStream,
     /// Whose it is.
-    pub connection: Arc<ClientConnection>,
+    pub(super) connection: Arc<ClientConnection>,
 }
 
 impl Watched {
--- a/crates/vetchbridge/src/clients/front.rs
+++ b/crates/vetchbridge/src/clients/front.rs
@@ -9,6 +9,7 @@
 use super::framing::HEAD_LIMIT;
 use super::{body, job};
 use crate::engine::Engine;
+use crate::net::RetryingStream;
 use crate::operators::admin;
 use crate::operators::life::Life;
 use crate::peers::{Callback, UpstreamGroup};
@@ -173,6 +174,7 @@
             debug!(%error, "connection.nodelay");
         }
         let service = service_fn(|request| self.respond(request, connection, router.clone()));
+        let stream = RetryingStream::new(stream);
         let io = TokioIo::new(Watched { stream, connection: connection.clone() });
         let mut serving = http1::Builder::new().max_buf_size(HEAD_LIMIT).serve_connection(io, service);
         let mut state = self.life.subscribe();
@@ -215,7 +217,7 @@
 
     /// Gives a client connection between two requests to the successor. What the client writes meanwhile stays in the
     /// socket.
-    fn pass(&self, stream: TcpStream, kept: bool) {
+    fn pass(&self, stream: RetryingStream, kept: bool) {
         let (successor, descriptor) = (self.kin.successor().borrow().clone(), stream.into_std());
         let passed = descriptor
             .map(|stream| successor.is_some_and(|to| to.say(Word::Connection { kept }, vec![stream.into()])));
--- a/crates/vetchbridge/src/list/discovery.rs
+++ b/crates/vetchbridge/src/list/discovery.rs
@@ -9,12 +9,12 @@
 use crate::engine::Engine;
 use crate::list::ask::Ask;
 use crate::list::listing::{Instance, Listing, Roster, Source};
+use crate::net::Connector;
 use crate::peers::{ListedPeer, UpstreamGroup};
 use crate::snapshot::Current;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::{Request, StatusCode};
-use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use silverproxy::interface::Discovery::Push as Pushed;
@@ -103,7 +103,7 @@
 /// Discovery as this scheduler sees it.
 pub struct Discovery {
     source: Source,
-    client: Client<HttpConnector, Empty<Bytes>>,
+    client: Client<Connector, Empty<Bytes>>,
     current: Arc<Current>,
     engine: Arc<Engine>,
     upstream: Arc<UpstreamGroup>,
@@ -128,13 +128,10 @@
         upstream: Arc<UpstreamGroup>,
         roster: Arc<Mutex<Roster>>,
     ) -> Discovery {
-        let mut tcp = HttpConnector::new();
-        tcp.set_nodelay(true);
-        tcp.set_connect_timeout(Some(DIAL_WAIT));
         let client = Client::builder(TokioExecutor::new())
             .pool_idle_timeout(IDLE)
             .pool_timer(TokioTimer::new())
-            .build(tcp);
+            .build(Connector::new(Some(DIAL_WAIT)));
         let mut discovery = Discovery {
             source,
             client,
--- /dev/null
+++ b/crates/vetchbridge/src/net/connector.rs
@@ -0,0 +1,40 @@
+//! Connections that the daemon makes: to peers and to discovery.
+
+use super::RetryingStream;
+use hyper::Uri;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioIo;
+use std::future::Future;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tower_service::Service;
+
+/// Dials, within a time if there is one; its connections are [`RetryingStream`]s.
+#[derive(Clone)]
+pub(crate) struct Connector(HttpConnector);
+
+impl Connector {
+    /// A connector that gives a dial up after this long; `None`: when the kernel does.
+    pub(crate) fn new(dial_timeout: Option<Duration>) -> Connector {
+        let mut tcp = HttpConnector::new();
+        tcp.set_nodelay(true);
+        tcp.set_connect_timeout(dial_timeout);
+        Connector(tcp)
+    }
+}
+
+impl Service<Uri> for Connector {
+    type Response = TokioIo<RetryingStream>;
+    type Error = <HttpConnector as Service<Uri>>::Error;
+    type Future = Pin<Box<dyn Future<Output = Result<Self::Response, Self::Error>> + Send>>;
+
+    fn poll_ready(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), Self::Error>> {
+        self.0.poll_ready(cx)
+    }
+
+    fn call(&mut self, uri: Uri) -> Self::Future {
+        let dial = self.0.call(uri);
+        Box::pin(async move { Ok(TokioIo::new(RetryingStream::new(dial.await?.into_inner()))) })
+    }
+}
--- a/crates/vetchbridge/src/operators/admin.rs
+++ b/crates/vetchbridge/src/operators/admin.rs
@@ -4,6 +4,7 @@
 //! bytes, and when all places are taken one that has said nothing makes room. It must never do more than ask the
 //! lifecycle, and never let a caller hold another up.
 
+use crate::net::RetryingStream;
 use crate::operators::life::Life;
 use crate::operators::lifecycle::Refusal;
 use crate::upgrade::kin::Kin;
@@ -12,7 +13,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 use tracing::{debug, info, warn};
@@ -67,7 +68,7 @@
 }
 
 /// Reads a caller's line, up to its end or the caller's.
-async fn line(stream: &mut TcpStream, spoke: &AtomicBool) -> Result<Vec<u8>, &'static str> {
+async fn line(stream: &mut RetryingStream, spoke: &AtomicBool) -> Result<Vec<u8>, &'static str> {
     let (mut line, mut piece) = (Vec::new(), [0; LINE_LIMIT]);
     loop {
         let read = stream.read(&mut piece).await.map_err(|_| "fail the connection broke")?;
@@ -86,7 +87,7 @@
     }
 }
 
-async fn caller(mut stream: TcpStream, life: Arc<Life>, kin: Arc<Kin>, spoke: Arc<AtomicBool>) {
+async fn caller(mut stream: RetryingStream, life: Arc<Life>, kin: Arc<Kin>, spoke: Arc<AtomicBool>) {
     let words = match timeout(LINE_TIMEOUT, line(&mut stream, &spoke)).await {
         Ok(Ok(line)) => {
             let words = answer(&line, &life, &kin);
@@ -112,7 +113,7 @@
     let mut callers: VecDeque<(Arc<AtomicBool>, AbortHandle)> = VecDeque::new();
     loop {
         let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
+            Ok((stream, _)) => RetryingStream::new(stream),
             Err(error) => {
                 warn!(%error, "admin.accept.failed");
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
--- a/crates/vetchbridge/src/peers/client.rs
+++ b/crates/vetchbridge/src/peers/client.rs
@@ -6,9 +6,9 @@
 
 use super::dial::{Count, Dialer};
 use super::Times;
+use crate::net::Connector;
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use tokio::time::Instant;
@@ -29,9 +29,7 @@
 impl PeerClient {
     /// A client without connections; each that it makes is counted among `all` too.
     pub(super) fn new(times: Times, all: Count) -> PeerClient {
-        let mut tcp = HttpConnector::new();
-        tcp.set_nodelay(true);
-        tcp.set_connect_timeout(Some(times.dial).filter(|t| !t.is_zero()));
+        let tcp = Connector::new(Some(times.dial).filter(|t| !t.is_zero()));
         let connections = Count::default();
         let http = Client::builder(TokioExecutor::new())
             // A resend that the module does not know of would be a second attempt.
--- a/crates/vetchbridge/src/peers/dial.rs
+++ b/crates/vetchbridge/src/peers/dial.rs
@@ -4,11 +4,12 @@
 //! before an exchange's first byte. It must never choose where to dial, nor end a connection that is in use and sound.
 
 use super::lock;
+use crate::net::{Connector, RetryingStream};
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper::Uri;
-use hyper_util::client::legacy::connect::{Connected, Connection, HttpConnector};
+use hyper_util::client::legacy::connect::{Connected, Connection};
 use hyper_util::rt::TokioIo;
-use rustix::io::Errno;
+use rustix::io::{retry_on_intr, Errno};
 use rustix::net::{recv, RecvFlags};
 use std::future::Future;
 use std::io::{self, IoSlice};
@@ -17,7 +18,6 @@
 use std::sync::{Arc, Mutex};
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::time::{sleep_until, Instant, Sleep};
 use tower_service::Service;
 
@@ -102,18 +102,18 @@
 
 /// Dials peers; its connections carry a [`Meter`] and are counted from the dial on, among all and among those of one peer.
 #[derive(Clone)]
-pub(super) struct Dialer(HttpConnector, [Count; 2]);
+pub(super) struct Dialer(Connector, [Count; 2]);
 
 impl Dialer {
     /// One whose connections are counted there.
-    pub(super) fn new(tcp: HttpConnector, counts: [Count; 2]) -> Dialer {
+    pub(super) fn new(tcp: Connector, counts: [Count; 2]) -> Dialer {
         Dialer(tcp, counts)
     }
 }
 
 /// A connection to a peer, metered and counted.
 pub(super) struct Metered {
-    io: TokioIo<TcpStream>,
+    io: TokioIo<RetryingStream>,
     meter: Meter,
     rest: Option<Pin<Box<Sleep>>>,
     _counted: [Counted; 2],
@@ -139,7 +139,8 @@
             self.rest = None;
         }
         // Asked of the kernel: what the runtime knows of a socket is as old as its last look at all of them.
-        let says = recv(self.io.inner(), &mut [0; 1], RecvFlags::PEEK | RecvFlags::DONTWAIT);
+        let flags = RecvFlags::PEEK | RecvFlags::DONTWAIT;
+        let says = retry_on_intr(|| recv(self.io.inner(), &mut [0; 1], flags));
         let silent = says == Err(Errno::AGAIN);
         let wanted = lock(&self.meter.0).may_begin.as_ref().is_none_or(|may_begin| may_begin());
         if silent && wanted {
@@ -152,7 +153,7 @@
 
 impl Service<Uri> for Dialer {
     type Response = Metered;
-    type Error = <HttpConnector as Service<Uri>>::Error;
+    type Error = <Connector as Service<Uri>>::Error;
     type Future = Pin<Box<dyn Future<Output = Result<Metered, Self::Error>> + Send>>;
 
     fn poll_ready(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), Self::Error>> {
--- a/crates/vetchbridge/src/serve.rs
+++ b/crates/vetchbridge/src/serve.rs
@@ -7,10 +7,12 @@
 use crate::list::discovery::{Discovery, InitialList};
 use crate::list::listing::{Roster, Source};
 use crate::logs::Logs;
+use crate::net::retry_for;
 use crate::operators::admin;
 use crate::operators::life::Life;
 use crate::peers::UpstreamGroup;
 use crate::siblings;
+use crate::signals::{CaughtSignals, SignalNotices};
 use crate::snapshot::Current;
 use crate::upgrade::kin::Kin;
 use crate::upgrade::wire::Door;
@@ -25,8 +27,8 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket};
-use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::mpsc::{unbounded_channel, UnboundedSender};
+use tokio::sync::Notify;
 use tokio::time::{sleep, timeout, Instant};
 use tracing::{error, info, warn};
 
@@ -37,10 +39,6 @@
 const PROBES: usize = 8;
 /// After SIGTERM, the listener stays at least this long: new connections keep arriving.
 const LISTEN_ON: Duration = Duration::from_millis(900);
-/// How long a start waits for an address that is taken: the process before this one may still be on its way out.
-const ADDRESS_WAIT: Duration = Duration::from_secs(5);
-/// How often it is tried meanwhile.
-const ADDRESS_AGAIN: Duration = Duration::from_millis(50);
 /// Nothing must be owed for this long before the program ends; the last answers leave the socket meanwhile.
 const QUIET: Duration = Duration::from_millis(100);
 
@@ -49,10 +47,13 @@
 const LAST_WORDS: Duration = Duration::from_millis(200);
 
 /// Runs the daemon in the foreground until it is told to end and nothing is owed.
-pub async fn run(mut config: Config, flags: Flags, logs: Logs) -> Result<(), Box<dyn Error>> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    let hangup = signal(SignalKind::hangup())?;
+pub async fn run(
+    mut config: Config,
+    flags: Flags,
+    logs: Logs,
+    signals: CaughtSignals,
+) -> Result<(), Box<dyn Error>> {
+    let SignalNotices { hangup, terminate } = signals.watch()?;
     let found = match &config.handover {
         Some(path) => upgrade::take_over(path, &config.name, config.listen).await,
         None => Found::Nobody,
@@ -77,10 +78,7 @@
     tokio::spawn(async move { keeper.keep_time().await });
     let house = start(config, inheritance, hangup, flags, logs, (life, kin)).await?;
 
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
+    terminate.notified().await;
     house.life.terminate(house.front.longest_deadline());
     sleep(LISTEN_ON).await;
     let mut quiet_since = Instant::now();
@@ -102,20 +100,10 @@
     Ok(())
 }
 
-/// Takes hold of an address; waits for a while where another process has it.
+/// Takes hold of an address; waits for a while where another process has it, or the machine can't give it just now.
 async fn claim<T>(address: SocketAddr, hold: impl Fn() -> io::Result<T>) -> Result<T, String> {
-    let (until, mut told) = (Instant::now() + ADDRESS_WAIT, false);
-    loop {
-        match hold() {
-            Err(error) if error.kind() == io::ErrorKind::AddrInUse && Instant::now() < until => {
-                if !std::mem::replace(&mut told, true) {
-                    warn!(%address, wait = ?ADDRESS_WAIT, "address.taken");
-                }
-                sleep(ADDRESS_AGAIN).await;
-            }
-            held => return held.map_err(|error| format!("{address}: {error}")),
-        }
-    }
+    let held = retry_for(&address.to_string(), hold).await;
+    held.map_err(|error| format!("{address}: {error}"))
 }
 
 /// Listens at an address; `shared`: beside another process of this scheduler, should one be there.
@@ -140,8 +128,9 @@
 impl Tuned {
     /// Reads the configuration again at each SIGHUP, to the very end: while it drains, the scheduler still places jobs
     /// and needs the list. What can't be used changes nothing at all.
-    async fn reload_on(mut self, mut hangup: Signal, flags: Flags, logs: Logs) {
-        while hangup.recv().await.is_some() {
+    async fn reload_on(mut self, hangup: Arc<Notify>, flags: Flags, logs: Logs) {
+        loop {
+            hangup.notified().await;
             match config::reload(&flags, self.document.as_ref()) {
                 Ok(config) => self.take(config, &logs),
                 Err(error) => {
@@ -183,19 +172,19 @@
 async fn start(
     config: Config,
     inheritance: Option<Inheritance>,
-    hangup: Signal,
+    hangup: Arc<Notify>,
     flags: Flags,
     logs: Logs,
     (life, kin): (Arc<Life>, Arc<Kin>),
 ) -> Result<Arc<House>, Box<dyn Error>> {
     // Not there for others to find before the listener is ours.
-    let mut door = config.handover.as_deref().and_then(|path| match Door::open(path) {
-        Ok(door) => Some(door),
-        Err(error) => {
-            warn!(path = %path.display(), %error, "upgrade.impossible");
-            None
+    let mut door = None;
+    if let Some(path) = config.handover.as_deref() {
+        match retry_for("handover", || Door::open(path)).await {
+            Ok(opened) => door = Some(opened),
+            Err(error) => warn!(path = %path.display(), %error, "upgrade.impossible"),
         }
-    });
+    }
     let shared = config.handover.is_some() && door.is_none();
     let (mut from, mut socket, mut rest) = (None, None, None);
     let mut initial = InitialList { listing: config.known, versioned: true, inherited: false };
@@ -214,7 +203,8 @@
         Some(listener) => listener,
         None => claim(config.listen, || listen(config.listen, shared)).await?,
     };
-    let spare = std::net::TcpListener::from(listener.as_fd().try_clone_to_owned()?);
+    let spare = retry_for("listener", || listener.as_fd().try_clone_to_owned()).await?;
+    let spare = std::net::TcpListener::from(spare);
     let siblings = match config.siblings {
         Some(siblings) => {
             let address = siblings.listen;
--- a/crates/vetchbridge/src/upgrade/wire.rs
+++ b/crates/vetchbridge/src/upgrade/wire.rs
@@ -5,7 +5,7 @@
 //! received it. It must never know what a message means.
 
 use rustix::cmsg_space;
-use rustix::io::Errno;
+use rustix::io::{retry_on_intr, Errno};
 use rustix::net::{
     bind, connect, listen, recvmsg, sendmsg, socket_with, AddressFamily, RecvAncillaryBuffer,
     RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer, SendAncillaryMessage, SendFlags, SocketAddrUnix,
@@ -91,7 +91,8 @@
             if !descriptors.is_empty() && !beside.push(SendAncillaryMessage::ScmRights(descriptors)) {
                 return Err(io::Error::from(io::ErrorKind::InvalidInput));
             }
-            Ok(sendmsg(&self.0, &[IoSlice::new(message)], &mut beside, SendFlags::NOSIGNAL)?)
+            let pieces = [IoSlice::new(message)];
+            Ok(retry_on_intr(|| sendmsg(&self.0, &pieces, &mut beside, SendFlags::NOSIGNAL))?)
         });
         sent.await.map(drop)
     }
@@ -102,7 +103,8 @@
             let mut space = [MaybeUninit::uninit(); cmsg_space!(ScmRights(DESCRIPTORS))];
             let mut beside = RecvAncillaryBuffer::new(&mut space);
             let flags = RecvFlags::CMSG_CLOEXEC;
-            let got = recvmsg(self.0.as_fd(), &mut [IoSliceMut::new(buffer)], &mut beside, flags)?;
+            let mut pieces = [IoSliceMut::new(buffer)];
+            let got = retry_on_intr(|| recvmsg(self.0.as_fd(), &mut pieces, &mut beside, flags))?;
             let mut descriptors = Vec::new();
             for message in beside.drain() {
                 if let RecvAncillaryMessage::ScmRights(rights) = message {
--- a/crates/vetchbridge/tests/syscall_faults.rs
+++ b/crates/vetchbridge/tests/syscall_faults.rs
@@ -91,6 +91,7 @@
     let folder = tempfile::tempdir().expect("a folder");
     let faults = format!("seed={seed},socket.failed=0.5,connect.failed=0.3");
     let mut process = Process::start_with_faults(&config, folder.path(), &faults);
+    confirm_list(&discovery).await;
     process.logs("serving").await;
     assert_eq!(process.operate("health").await, "ok serving\n");
 }
