Test restarts that a stepped wall clock tells, which fail: warm at once, or cold for an hour

Need: machines' wall clocks may be stepped by seconds or an hour; a worker's age is known from `startedAtMs` alone.

Change: module tests of a restart told by equal clocks, and by clocks stepped back by 30 s and an hour, and forward by 5 s and an hour; a case of the late connections for a start that is smaller than the one known.

--- /dev/null
+++ b/crates/silverproxy/tests/starts.rs
@@ -0,0 +1,92 @@
+//! Which process of a worker a list names, and how old it is: its start is told by another machine's wall clock, which may
+//! have been stepped, forward or back.
+#![allow(missing_docs)]
+
+mod common;
+use common::*;
+use silverproxy::*;
+
+const HOUR: Micros = 3600 * S;
+const WORKERS: u64 = 12;
+const RESTARTED: u64 = 5;
+/// When the tests' scheduler hears its first list.
+const BEGIN: Micros = 10 * HOUR;
+
+/// Cold workers take what they have points for, however much that is.
+fn without_budget() -> Settings {
+    let mut settings = settings();
+    settings.rules.fall_multiple = 1e9;
+    settings
+}
+
+/// A scheduler that has heard its whole list, and a second later that nothing has changed.
+fn serving(born: Micros) -> Driver {
+    let mut d = Driver::new(without_budget());
+    d.at(BEGIN, list(ListKind::Full, (1..=WORKERS).map(|n| Member { born, ..member(n) })));
+    d.at(BEGIN + S, list(ListKind::Changes, []));
+    d
+}
+
+fn hears_of_a_start(d: &mut Driver, born: Micros) {
+    d.event(list(ListKind::Changes, [Member { born, ..member(RESTARTED) }]));
+}
+
+/// How many of many keys begin at the restarted worker now. Each request is withdrawn before the next.
+fn keys_sent_there(d: &mut Driver) -> usize {
+    let sent_there = |id: u64| {
+        let first = sends(&d.request(id, SAFE, &format!("key-{id}")));
+        d.event(outcome(id, 0, first[0], Status::Ok));
+        first[0] == WorkerId(RESTARTED)
+    };
+    (0..2000).map(sent_there).filter(|there| *there).count()
+}
+
+/// The age of a process is what this scheduler has observed of it; the wall clock can only make it younger.
+#[test]
+fn a_stepped_wall_clock_makes_no_restarted_worker_warm_nor_keeps_it_cold() {
+    let before = BEGIN - 20 * S;
+    let warm = keys_sent_there(&mut serving(before));
+    let now = BEGIN + S + 500 * MS;
+    for (name, born) in [
+        ("equal clocks", now - 100 * MS),
+        ("back by an hour", now - 100 * MS - HOUR),
+        ("back by 30 s", now - 100 * MS - 30 * S),
+        ("forward by an hour", now - 100 * MS + HOUR),
+        ("forward by 5 s", now - 100 * MS + 5 * S),
+    ] {
+        let mut d = serving(before);
+        d.now = now;
+        hears_of_a_start(&mut d, born);
+        let cold = keys_sent_there(&mut d);
+        // A quarter of its points at the start.
+        assert!((warm / 8..=warm / 2).contains(&cold), "{name}: {cold} keys of {warm} right after the start");
+        d.now = now + settings().rules.cold_time;
+        let later = keys_sent_there(&mut d);
+        assert!(later * 10 >= warm * 9, "{name}: {later} keys of {warm} once it is warm");
+    }
+}
+
+/// A scheduler that has just started can't know better than the wall clock, but a start in the future has just been.
+#[test]
+fn a_start_that_the_first_list_puts_into_the_future_was_now() {
+    let mut d = Driver::new(without_budget());
+    let members =
+        (1..=WORKERS).map(|n| Member { born: if n == RESTARTED { BEGIN + HOUR } else { 0 }, ..member(n) });
+    d.at(BEGIN, list(ListKind::Full, members));
+    let cold = keys_sent_there(&mut d);
+    d.now = BEGIN + settings().rules.cold_time;
+    let warm = keys_sent_there(&mut d);
+    assert!(cold * 2 < warm, "{cold} keys, {warm} once it is warm");
+}
+
+/// The same process said again, also in a whole list and after an outage, is as old as it was.
+#[test]
+fn a_start_that_is_told_again_changes_nothing() {
+    let mut d = serving(BEGIN - 20 * S);
+    let warm = keys_sent_there(&mut d);
+    for kind in [ListKind::Changes, ListKind::Full, ListKind::Failed] {
+        d.now += 60 * S;
+        d.event(list(kind, (1..=WORKERS).map(|n| Member { born: BEGIN - 20 * S, ..member(n) })));
+        assert_eq!(keys_sent_there(&mut d), warm, "{kind:?}");
+    }
+}
--- a/crates/vetchbridge/tests/late_connections.rs
+++ b/crates/vetchbridge/tests/late_connections.rs
@@ -75,6 +75,7 @@
     TimeUp,
     Drains,
     StartsAnew,
+    StartsAnewAfterItsClockWasSteppedBack,
     ReturnedBefore,
     DoneBefore,
 }
@@ -87,14 +88,19 @@
 #[case::the_time_is_up(Change::TimeUp, Ended::Not(Status::Moot))]
 #[case::the_peer_drains(Change::Drains, Ended::Not(Status::ConnectFailed))]
 #[case::the_peer_starts_anew(Change::StartsAnew, Ended::Not(Status::Moot))]
+#[case::the_peer_starts_anew_by_a_clock_that_was_stepped_back(
+    Change::StartsAnewAfterItsClockWasSteppedBack,
+    Ended::Not(Status::Moot)
+)]
 #[case::an_earlier_attempt_is_handed_back(Change::ReturnedBefore, Ended::Served("made".into()))]
 #[case::an_earlier_attempt_is_done(Change::DoneBefore, Ended::Served("made".into()))]
 #[timeout(HANG)]
 #[tokio::test]
 async fn a_late_connection_carries_only_what_still_holds(#[case] change: Change, #[case] expected: Ended) {
     const ID: &str = "00000000000000ab";
+    const STARTED: Micros = 7;
     let (narrow, group) = (Narrow::open(), UpstreamGroup::new(MINUTE, MINUTE, 1));
-    tell(&group, &narrow, MemberState::Ready, 0);
+    tell(&group, &narrow, MemberState::Ready, STARTED);
     let _filler = narrow.fill().await;
     let mut terms = Terms::within(MINUTE);
     if change == Change::TimeUp {
@@ -108,8 +114,11 @@
     match change {
         Change::Nothing | Change::TimeUp => {}
         Change::RequestOver => over.store(true, Ordering::Relaxed),
-        Change::Drains => tell(&group, &narrow, MemberState::Draining, 0),
-        Change::StartsAnew => tell(&group, &narrow, MemberState::Ready, 1),
+        Change::Drains => tell(&group, &narrow, MemberState::Draining, STARTED),
+        Change::StartsAnew => tell(&group, &narrow, MemberState::Ready, STARTED + 1),
+        Change::StartsAnewAfterItsClockWasSteppedBack => {
+            tell(&group, &narrow, MemberState::Ready, STARTED - 1);
+        }
         Change::ReturnedBefore => assert!(group.called_back(&callback(ID, "returned"))),
         Change::DoneBefore => assert!(group.called_back(&callback(ID, "done"))),
     }
@@ -127,7 +136,10 @@
     tokio::pin!(peer);
     match change {
         // The dial goes with the attempt: there is no connection to wait for.
-        Change::Drains | Change::StartsAnew | Change::DoneBefore => {
+        Change::Drains
+        | Change::StartsAnew
+        | Change::StartsAnewAfterItsClockWasSteppedBack
+        | Change::DoneBefore => {
             tokio::select! {
                 biased;
                 (ended, _) = attempt => assert_eq!(ended, expected),
