Take a worker's age from what this scheduler observed, and any other start for another process

Cause: `Worker::warmth` compared `startedAtMs`, another machine's wall clock, with this process's clock, which reads Unix time once and is monotonic from there; `member.born > worker.member.born` in policy.rs and `peer.started >= started` in peers/mod.rs took a smaller start for the same process, so that what was learnt of the old one was kept and a waiting attempt was written to the new.

Change: `warm_up.rs` bounds a start that a list is the first to name: it lies between discovery's latest answer and now, and what is told binds within that alone; where it lies 6 s or more before that answer, the clock was stepped and the start counts from now. Starts are told apart and not ordered. A process that has had no answer yet still goes by the wall clock, a start in the future being now; its head says what that can't know. `hash.rs` is split from policy.rs.

--- a/crates/silverproxy/src/lib.rs
+++ b/crates/silverproxy/src/lib.rs
@@ -60,8 +60,10 @@
 //! # Ok::<(), SettingsError>(())
 //! ```
 
+mod hash;
 pub mod interface;
 pub mod policy;
+mod warm_up;
 pub mod words;
 
 pub use interface::*;
--- a/crates/silverproxy/src/policy.rs
+++ b/crates/silverproxy/src/policy.rs
@@ -5,7 +5,9 @@
 //! point's other worker takes it when the first is busy. All else is one of the four rules (one answer, no
 //! double effect, drains, cold workers) or an exception, said where it acts. No clock is read, no I/O done.
 
+use crate::hash::{hash_key, mix};
 use crate::interface::*;
+use crate::warm_up::{self, StartBounds};
 use crate::words::Word;
 use std::collections::BTreeMap;
 
@@ -86,19 +88,6 @@
 const TIMER_ASK: u64 = 2;
 const TIMER_WATCH: u64 = 3;
 
-/// Stable 64-bit finaliser (splitmix64): the same on every machine and in every port.
-fn mix(x: u64) -> u64 {
-    let x = x.wrapping_add(0x9e37_79b9_7f4a_7c15);
-    let x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    let x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    x ^ (x >> 31)
-}
-
-/// Place of a key on the ring: FNV-1a over its bytes, then mixed.
-fn hash_key(key: &str) -> u64 {
-    mix(key.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3)))
-}
-
 /// An attempt of an open request.
 struct Attempt {
     worker: WorkerId,
@@ -161,6 +150,8 @@
 struct Worker {
     /// Its entry in the list.
     member: Member,
+    /// When its process started, by this scheduler's own clock; `None`: long ago.
+    began: Option<Micros>,
     ready: bool,
     units: f64,
     points: u32,
@@ -225,13 +216,8 @@
             || self.own_slots() + slots > self.bound.max(slots)
     }
 
-    /// Share of its capacity that a worker has at this age, by the slowest warming the rules allow.
     fn warmth(&self, now: Micros, rules: &Rules) -> f64 {
-        if self.member.born == 0 || rules.cold_time == 0 {
-            return 1.0;
-        }
-        let age = now.saturating_sub(self.member.born) as f64 / rules.cold_time as f64;
-        (rules.cold_share + (1.0 - rules.cold_share) * age).min(1.0)
+        warm_up::warmth(self.began, now, rules)
     }
 }
 
@@ -268,6 +254,7 @@
     failed_calls: u32,
     last_call: Micros,
     unconfirmed_until: Micros,
+    starts: StartBounds,
 }
 
 impl Policy {
@@ -293,6 +280,7 @@
             failed_calls: 0,
             last_call: 0,
             unconfirmed_until: 0,
+            starts: StartBounds::default(),
         })
     }
 
@@ -349,25 +337,32 @@
                 if ready {
                     self.index.insert(member.worker, self.workers.len());
                     added.push(self.workers.len());
-                    self.workers.push(new_worker(member, units));
+                    let began = self.starts.start_of(now, member.born);
+                    self.workers.push(new_worker(member, units, began));
                 }
                 continue;
             };
+            let began = self.starts.start_of(now, member.born);
             let worker = &mut self.workers[at];
             worker.ready = ready;
             if member.state == MemberState::Gone {
                 continue;
             }
-            if member.born > worker.member.born {
+            // Starts are told apart, not ordered, since a clock may be stepped. An older list may tell of who
+            // takes no jobs.
+            if ready && member.born != 0 && member.born != worker.member.born {
                 // A restarted process: nothing learned of the old one holds.
                 let (out, points) = (std::mem::take(&mut worker.out), worker.points);
-                *worker = Worker { out, points, ..new_worker(member, units) };
+                *worker = Worker { out, points, ..new_worker(member, units, began) };
             }
             if (units / worker.units - 1.0).abs() > 0.01 {
                 worker.units = units;
                 added.push(at);
             }
         }
+        if kind.is_answer() || kind == ListKind::Inherited {
+            self.starts.answered(now);
+        }
         self.place_points(added);
         self.ready_count = self.workers.iter().filter(|w| w.ready).count();
         self.forget();
@@ -1003,7 +998,7 @@
     }
 }
 
-fn new_worker(member: Member, units: f64) -> Worker {
+fn new_worker(member: Member, units: f64, began: Option<Micros>) -> Worker {
     let ready = member.state == MemberState::Ready;
-    Worker { member, ready, units, bound: f64::INFINITY, ..Worker::default() }
+    Worker { member, began, ready, units, bound: f64::INFINITY, ..Worker::default() }
 }
--- a/crates/silverproxy/tests/limits.rs
+++ b/crates/silverproxy/tests/limits.rs
@@ -1,12 +1,17 @@
-//! The module's own size.
+//! The size of the decision modules.
 #![allow(missing_docs)]
 
+/// Each file that decides something. A rule that no longer fits into one gets a file of its own, with a name of its own.
+const DECISIONS: [(&str, &str); 2] =
+    [("policy.rs", include_str!("../src/policy.rs")), ("warm_up.rs", include_str!("../src/warm_up.rs"))];
+
 #[test]
-fn the_module_stays_within_its_lines_and_columns() {
-    let text = include_str!("../src/policy.rs");
-    let lines = text.lines().filter(|line| !line.trim().is_empty()).count();
-    assert!(lines <= 950, "{lines} lines");
-    for (number, line) in text.lines().enumerate() {
-        assert!(line.chars().count() <= 110, "line {} is too long", number + 1);
+fn each_decision_module_stays_within_its_lines_and_columns() {
+    for (name, text) in DECISIONS {
+        let lines = text.lines().filter(|line| !line.trim().is_empty()).count();
+        assert!(lines <= 950, "{name}: {lines} lines");
+        for (number, line) in text.lines().enumerate() {
+            assert!(line.chars().count() <= 110, "{name}:{} is too long", number + 1);
+        }
     }
 }
--- a/crates/vetchbridge/src/peers/mod.rs
+++ b/crates/vetchbridge/src/peers/mod.rs
@@ -93,7 +93,7 @@
     name: String,
     address: Authority,
     client: Mutex<PeerClient>,
-    /// When its process last started.
+    /// When its process last started, by another machine's wall clock.
     started: Micros,
     availability: watch::Sender<Availability>,
 }
@@ -249,8 +249,13 @@
                 continue;
             }
             let known = peers.get(&worker);
+            // Starts are told apart, not ordered: the clock that they were read from may have been stepped. One that takes
+            // no jobs may be told by an older list.
             let same = |address: &Authority| {
-                known.is_some_and(|peer| peer.address == *address && peer.started >= started)
+                known.is_some_and(|peer| {
+                    let process = peer.started == started || started == 0 || state != MemberState::Ready;
+                    peer.address == *address && process
+                })
             };
             let address = match address.parse::<Authority>() {
                 Ok(address) => Some(address).filter(|address| !same(address)),
