--- a/crates/silverproxy/src/warm_up.rs
+++ b/crates/silverproxy/src/warm_up.rs
@@ -1,11 +1,12 @@
 //! When a worker's process started, and how warm it is by now.
 //!
-//! A list tells a start by another machine's wall clock, which may have been stepped, forward or back. This
-//! process's own clock is monotonic, so that the start is bounded by what was observed here: a list that is the
-//! first to name a start was answered after it, and the answer before that did not know of it. What is told binds
-//! within these bounds alone. A process that has had no answer yet has nothing but the wall clock to go by: a
-//! worker that was restarted before, by a clock that differs from this machine's at its own start, is taken for
-//! older or younger by that difference, for as long as it warms up.
+//! A list tells a start by another machine's wall clock, which may have been stepped, forward or back.
+//! This process's own clock is monotonic, so that the start is bounded by what was observed here: a
+//! list that is the first to name a start was answered after it, and the answer before that did not
+//! know of it. What is told binds within these bounds alone. A process that has had no answer yet has
+//! nothing but the wall clock to go by: a worker that was restarted before, by a clock that differs
+//! from this machine's at its own start, is taken for older or younger by that difference, for as long
+//! as it warms up.
 
 use crate::interface::{Micros, Rules};
 
@@ -25,7 +26,7 @@
         self.last_answer = Some(now);
     }
 
-    /// When a process started that this list is the first to name, by this scheduler's clock; `None`: long ago.
+    /// When a process started that this list is the first to name, by this process's clock; `None`: long ago.
     pub(crate) fn start_of(&self, now: Micros, told: Micros) -> Option<Micros> {
         let earliest = match self.last_answer {
             // Discovery would have told of it before: the clock that it was read from has been stepped back.
