--- a/crates/silverproxy/tests/starts.rs
+++ b/crates/silverproxy/tests/starts.rs
@@ -90,3 +90,31 @@
         assert_eq!(keys_sent_there(&mut d), warm, "{kind:?}");
     }
 }
+
+/// What a list says of a worker's place binds, also where its process is the same: a key is dropped only within its cell,
+/// and new settings may name zones and kinds in another order.
+#[test]
+fn zone_kind_and_cell_follow_the_list() {
+    let mut d = Driver::new(settings());
+    d.event(list(ListKind::Full, (1..=4).map(|n| Member { kind: KindId(u32::from(n > 2)), ..member(n) })));
+    let bound = |d: &mut Driver, id: u64| {
+        let worker = sent(&d.request(id, BOUND, &format!("key-{id}"))).0;
+        d.event(outcome(id, 0, WorkerId(worker), Status::Ok));
+        worker
+    };
+    assert!((0..20).all(|id| bound(&mut d, id) > 2));
+    d.event(list(
+        ListKind::Changes,
+        (1..=4).map(|n| Member { kind: KindId(u32::from(n <= 2)), ..member(n) }),
+    ));
+    assert!((20..40).all(|id| bound(&mut d, id) <= 2), "the kinds have changed places");
+
+    let mut d = Driver::new(settings());
+    d.event(list(ListKind::Full, (1..=4).map(|n| Member { cell: CellId(n as u32 / 2), ..member(n) })));
+    let first = sent(&d.request(1, KEYED_CELL, "k"));
+    // Its cell mate of before is in another cell now, and another worker has come to it.
+    let mates = |n: u64| CellId(u32::from((n == first.0) || (n == first.0 % 4 + 1)));
+    d.event(list(ListKind::Changes, (1..=4).map(|n| Member { cell: mates(n), ..member(n) })));
+    let next = sent(&d.event(outcome(1, 0, first, Status::Reset)));
+    assert_eq!(next.0, first.0 % 4 + 1, "the repeat stays in the cell");
+}
--- a/crates/vetchbridge/tests/late_connections.rs
+++ b/crates/vetchbridge/tests/late_connections.rs
@@ -163,6 +163,41 @@
     fn closed_by_the_story(self) {}
 }
 
+/// A worker is told how long its answer is waited for. That counts from the first byte, and not from the decision: the client
+/// has not one second more because the connection took one.
+#[rstest]
+#[timeout(HANG)]
+#[tokio::test]
+async fn a_late_connection_tells_the_time_that_is_left_then() {
+    const WAIT: Duration = Duration::from_secs(5);
+    /// Between the first byte and its reading here; less than the second for which the kernel pauses.
+    const READ_WITHIN: Duration = Duration::from_millis(500);
+    let (narrow, group) = (Narrow::open(), UpstreamGroup::new(MINUTE, MINUTE, 1));
+    tell(&group, &narrow, MemberState::Ready, 0);
+    let _filler = narrow.fill().await;
+    let (parcel, (_cancel, cancelled)) = (parcel("00000000000000ab"), oneshot::channel());
+    let decided = std::time::Instant::now();
+    let worker = worker_id("s-0");
+    let attempt = group.attempt(RequestId(0xab), worker, &parcel, Terms::within(WAIT), cancelled, |_| {});
+    tokio::pin!(attempt);
+    assert!(futures_util::poll!(attempt.as_mut()).is_pending(), "it dials");
+    let peer = async {
+        narrow.accept().await.closed_by_the_story();
+        let mut peer = narrow.accept().await;
+        let job = peer.read().await.expect("the job");
+        let read = decided.elapsed();
+        peer.answer(202, "", "").await.expect("it is read");
+        assert!(group.called_back(&callback("00000000000000ab", "done")));
+        let told = job.header("x-expires-in").expect("a span");
+        let micros = told.strip_suffix('u').and_then(|digits| digits.parse().ok()).expect("microseconds");
+        (Duration::from_micros(micros), read)
+    };
+    let ((ended, _), (told, read)) = tokio::join!(attempt, peer);
+    assert_eq!(ended, Ended::Served("made".into()));
+    assert!(told + read <= WAIT + READ_WITHIN, "told {told:?} when {read:?} of {WAIT:?} were over");
+    assert!(told + read >= WAIT, "told {told:?} when {read:?} of {WAIT:?} were over");
+}
+
 /// Two requests wait for one peer, and the first is called off. Connections that come up afterwards carry the second alone.
 #[rstest]
 #[timeout(HANG)]
