Follow lists that move a worker and settings that number zones and kinds anew; tell the time left at the first byte

Cause: (1) on_members in policy.rs kept the `Member` of the first list that named a worker and took only state and size from later ones; at a reload that renames zones or kinds, serve.rs asked for the whole list once, which changed nothing in the module, was not asked again if that call failed, and left a moment in which new classes met old numbers. (2) exchange.rs made `X-Expires-In` with the request, when it was decided, before its connection was there.

Change: the module takes zone, kind and cell from each entry. A reload hands it the list in hand in the new terms (`ListKind::Retold`) in the same step as the settings; no call to discovery is needed. `peers/expiry.rs` writes the time that is left at the first byte over the value made at the decision, digit for digit, however the request is cut into writes.

--- a/crates/silverproxy/src/interface.rs
+++ b/crates/silverproxy/src/interface.rs
@@ -322,6 +322,8 @@
     Inherited,
     /// A subscription or fetch failed; the old list stands, but for entries that were heard before it broke off.
     Failed,
+    /// The list in hand once more, in the terms of settings that have just changed. Discovery has said nothing.
+    Retold,
 }
 
 impl ListKind {
@@ -330,6 +332,11 @@
         matches!(self, ListKind::Full | ListKind::Saved | ListKind::Inherited)
     }
 
+    /// Whether discovery is to be called now.
+    pub fn calls_for_another(self) -> bool {
+        matches!(self, ListKind::Saved | ListKind::Inherited | ListKind::Failed)
+    }
+
     /// Whether discovery has answered a call with it, or pushed it.
     pub fn is_answer(self) -> bool {
         matches!(self, ListKind::Full | ListKind::Changes)
--- a/crates/silverproxy/src/policy.rs
+++ b/crates/silverproxy/src/policy.rs
@@ -319,7 +319,7 @@
     // ---- the worker list and the ring ----
 
     fn on_members(&mut self, now: Micros, kind: ListKind, members: Vec<Member>, actions: &mut Vec<Action>) {
-        if kind != ListKind::Failed {
+        if !matches!(kind, ListKind::Failed | ListKind::Retold) {
             (self.failed_calls, self.last_call) = (0, 0);
             self.unconfirmed_until = if kind == ListKind::Saved { now + CONFIRM_WITHIN } else { 0 };
         }
@@ -343,6 +343,7 @@
                 continue;
             };
             let began = self.starts.start_of(now, member.born);
+            let place = (member.zone, member.kind, member.cell);
             let worker = &mut self.workers[at];
             worker.ready = ready;
             if member.state == MemberState::Gone {
@@ -355,6 +356,7 @@
                 let (out, points) = (std::mem::take(&mut worker.out), worker.points);
                 *worker = Worker { out, points, ..new_worker(member, units, began) };
             }
+            (worker.member.zone, worker.member.kind, worker.member.cell) = place;
             if (units / worker.units - 1.0).abs() > 0.01 {
                 worker.units = units;
                 added.push(at);
@@ -366,7 +368,7 @@
         self.place_points(added);
         self.ready_count = self.workers.iter().filter(|w| w.ready).count();
         self.forget();
-        if self.settings.discovery == Discovery::Ask && !kind.is_answer() {
+        if self.settings.discovery == Discovery::Ask && kind.calls_for_another() {
             self.ask_later(now, kind == ListKind::Saved, actions);
         }
         let held: Vec<RequestId> = self.open.iter().filter(|(_, o)| o.holding).map(|(id, _)| *id).collect();
--- a/crates/vetchbridge/src/list/listing.rs
+++ b/crates/vetchbridge/src/list/listing.rs
@@ -143,6 +143,11 @@
         (self.instances.values().cloned().collect(), self.generation)
     }
 
+    /// The list in the module's terms.
+    pub fn members(&self, names: &Names) -> Vec<Member> {
+        self.instances.values().map(|instance| instance.member(names)).collect()
+    }
+
     /// The discovery service that it is from.
     pub fn source(&self) -> Option<SocketAddr> {
         self.source
--- a/crates/vetchbridge/src/peers/dial.rs
+++ b/crates/vetchbridge/src/peers/dial.rs
@@ -3,6 +3,7 @@
 //! Owns what is known of bytes written, by which an exchange that broke is told from one that may have run, and the check
 //! before an exchange's first byte. It must never choose where to dial, nor end a connection that is in use and sound.
 
+use super::expiry::Expiry;
 use super::lock;
 use crate::net::{Connector, RetryingStream};
 use hyper::rt::{Read, ReadBufCursor, Write};
@@ -66,6 +67,8 @@
     before: u64,
     /// There while the exchange in hand has no byte written.
     may_begin: Option<MayBegin>,
+    /// What the request in hand tells of its time.
+    expiry: Option<Expiry>,
     /// Not a byte more goes out.
     closed: bool,
     last_read: Option<Instant>,
@@ -74,9 +77,9 @@
 impl Meter {
     /// The next exchange's request has been handed to this connection, and is not written yet. Both happen on the one
     /// thread, the writing in a task of the connection's own.
-    pub(super) fn begin(&self, may_begin: MayBegin) {
+    pub(super) fn begin(&self, may_begin: MayBegin, expiry: Option<Expiry>) {
         let state = &mut *lock(&self.0);
-        (state.before, state.may_begin) = (state.written, Some(may_begin));
+        (state.before, state.may_begin, state.expiry) = (state.written, Some(may_begin), expiry);
     }
 
     /// Bytes written for the exchange in hand.
@@ -90,6 +93,13 @@
         lock(&self.0).closed = true;
     }
 
+    /// These bytes of the request in hand with the time that is left, where they hold it.
+    fn stamp<'a>(&self, pieces: impl Iterator<Item = &'a [u8]>) -> Option<Vec<u8>> {
+        let state = &mut *lock(&self.0);
+        let position = state.written - state.before;
+        state.expiry.as_mut()?.stamp(position as usize, pieces)
+    }
+
     fn count(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         if let Poll::Ready(Ok(bytes)) = &written {
             let state = &mut *lock(&self.0);
@@ -197,7 +207,8 @@
 impl Write for Metered {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, data: &[u8]) -> Poll<io::Result<usize>> {
         ready!(self.poll_may_write(cx))?;
-        let written = Pin::new(&mut self.io).poll_write(cx, data);
+        let stamped = self.meter.stamp(std::iter::once(data));
+        let written = Pin::new(&mut self.io).poll_write(cx, stamped.as_deref().unwrap_or(data));
         self.meter.count(written)
     }
 
@@ -207,7 +218,10 @@
         data: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         ready!(self.poll_may_write(cx))?;
-        let written = Pin::new(&mut self.io).poll_write_vectored(cx, data);
+        let written = match self.meter.stamp(data.iter().map(|piece| &**piece)) {
+            Some(stamped) => Pin::new(&mut self.io).poll_write(cx, &stamped),
+            None => Pin::new(&mut self.io).poll_write_vectored(cx, data),
+        };
         self.meter.count(written)
     }
 
--- a/crates/vetchbridge/src/peers/exchange.rs
+++ b/crates/vetchbridge/src/peers/exchange.rs
@@ -4,6 +4,7 @@
 //! never write a header that [`written_length`] does not count.
 
 use super::dial::{MayBegin, Meter};
+use super::expiry::{self, header_length, request_line_length, Expiry, EXPIRES_IN};
 use super::{load, lock, Peer};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
@@ -15,7 +16,7 @@
 use std::future::{poll_fn, Future};
 use std::pin::Pin;
 use std::time::Duration;
-use tokio::time::timeout;
+use tokio::time::{timeout, Instant};
 use tracing::debug;
 
 /// How long a peer is given to answer the call that gives an attempt up.
@@ -151,12 +152,13 @@
         if let Some((parcel, wait)) = job {
             header(CONTENT_LENGTH.as_str(), &parcel.body.len().to_string());
             header("x-trace-id", &parcel.id);
-            header("x-expires-in", &format!("{}u", wait.as_micros()));
+            header(EXPIRES_IN, &expiry::value(wait));
             if let Some(key) = &parcel.idempotency_key {
                 header("idempotency-key", key);
             }
         }
         let length = written_length(&request);
+        let mut expiry = job.and_then(|(_, wait)| Expiry::of(&request, Instant::now() + wait));
         let connection = capture_connection(&mut request);
         let client = lock(&self.client).for_request();
         let (name, seen) = (self.name.clone(), Seen { connection: connection.clone(), length });
@@ -168,7 +170,7 @@
                 if in_hand.0.is_none() {
                     in_hand.0 = meter(&connection);
                     let met = in_hand.0.as_ref().zip(may_begin.take_if(|_| in_hand.0.is_some()));
-                    met.into_iter().for_each(|(meter, may_begin)| meter.begin(may_begin));
+                    met.into_iter().for_each(|(meter, may_begin)| meter.begin(may_begin, expiry.take()));
                 }
                 polled
             })
@@ -212,9 +214,8 @@
 
 /// Bytes that this request takes on a connection: every header is set by us, hyper adds none.
 fn written_length(request: &Request<Full<Bytes>>) -> u64 {
-    let target = request.uri().path_and_query().map_or(1, |target| target.as_str().len());
-    let line = request.method().as_str().len() + 1 + target + " HTTP/1.1\r\n".len();
-    let headers: usize = request.headers().iter().map(|(n, v)| n.as_str().len() + v.len() + 4).sum();
+    let line = request_line_length(request);
+    let headers: usize = request.headers().iter().map(|(name, value)| header_length(name, value.len())).sum();
     let body = Body::size_hint(request.body()).exact().unwrap_or(0);
     (line + headers + 2) as u64 + body
 }
--- a/crates/vetchbridge/src/peers/mod.rs
+++ b/crates/vetchbridge/src/peers/mod.rs
@@ -10,6 +10,7 @@
 mod client;
 mod dial;
 mod exchange;
+mod expiry;
 pub mod load;
 
 pub use callbacks::{Callback, CallbackState};
--- a/crates/vetchbridge/src/serve.rs
+++ b/crates/vetchbridge/src/serve.rs
@@ -18,13 +18,13 @@
 use crate::upgrade::wire::Door;
 use crate::upgrade::{self, Found, House, Inheritance};
 use serde_json::Value;
-use silverproxy::interface::Event;
+use silverproxy::interface::{Event, ListKind};
 use silverproxy::policy::{Policy, CONFIRM_WITHIN};
 use std::error::Error;
 use std::io;
 use std::net::{SocketAddr, UdpSocket};
 use std::os::fd::AsFd;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::mpsc::{unbounded_channel, UnboundedSender};
@@ -123,6 +123,7 @@
     engine: Arc<Engine>,
     upstream: Arc<UpstreamGroup>,
     current: Arc<Current>,
+    roster: Arc<Mutex<Roster>>,
 }
 
 impl Tuned {
@@ -156,13 +157,13 @@
             self.engine.handle(Event::Settings(Box::new(settings)));
         }
         self.document = config.document;
-        // The list in hand was told under other indices.
-        let renamed = (&old.names.zones, &old.names.kinds) != (&names.zones, &names.kinds);
-        let fetch = renamed.then_some(Ask::Fetch);
-        for ask in [Ask::Move(config.source)].into_iter().chain(fetch) {
-            if self.asks.send(ask).is_err() {
-                error!("discovery.absent");
-            }
+        if (&old.names.zones, &old.names.kinds) != (&names.zones, &names.kinds) {
+            // The list in hand was told under other indices; until it is told anew, no job may be placed by it.
+            let members = self.roster.lock().unwrap_or_else(PoisonError::into_inner).members(&names);
+            self.engine.handle(Event::Members { kind: ListKind::Retold, members });
+        }
+        if self.asks.send(Ask::Move(config.source)).is_err() {
+            error!("discovery.absent");
         }
         info!(classes = names.classes.join(","), "configuration.read");
     }
@@ -238,6 +239,7 @@
         engine: engine.clone(),
         upstream: upstream.clone(),
         current: current.clone(),
+        roster: roster.clone(),
     };
     tokio::spawn(tuned.reload_on(hangup, flags, logs));
     tokio::spawn(engine.clone().run_timers());
--- a/crates/vetchbridge/tests/reload.rs
+++ b/crates/vetchbridge/tests/reload.rs
@@ -124,3 +124,51 @@
     let mut wire = Wire::new(after.accept().await.expect("a call").0);
     assert_eq!(wire.asked().await, "/registry/instances", "it follows the discovery that is named now");
 }
+
+/// The settings give zones and kinds their numbers, and may number them anew. The list in hand follows in the same step, also
+/// while discovery says nothing: a job bound to a kind must not go to the other one.
+#[rstest]
+#[timeout(HANG)]
+#[tokio::test]
+async fn kinds_that_are_numbered_anew_are_followed_without_a_word_of_discovery() {
+    let mut peers = Vec::new();
+    for _ in 0..2 {
+        peers.push(TcpListener::bind("127.0.0.1:0").await.expect("a port"));
+    }
+    let listed = |(number, kind): (usize, &str)| {
+        let mut instance = instance(number, peers[number].local_addr().expect("bound"), "up");
+        instance["machineType"] = kind.into();
+        instance
+    };
+    let known: Vec<_> = ["small", "large"].into_iter().enumerate().map(listed).collect();
+    let mut config = config("127.0.0.1:1".parse().expect("an address"), json!(known));
+    config["settings"]["kinds"] = json!(["small", "large"]);
+    config["settings"]["specifics"] = json!({"class_kind": [1, -1, -1]});
+    let folder = tempfile::tempdir().expect("a folder");
+    let (mut daemon, _silent) = Process::serving(&mut config, folder.path()).await;
+    config["settings"]["kinds"] = json!(["large", "small"]);
+    config["settings"]["specifics"] = json!({"class_kind": [0, -1, -1]});
+    for round in 0..2 {
+        for number in 0..8 {
+            let id = format!("{:016x}", 0xab00 + 16 * round + number);
+            let mut client = dial(daemon.address).await;
+            client.hand_in(&format!("/safe/{number}"), &format!("X-Trace-Id: {id}\r\n"), "work").await;
+            let (peer, accepted) = tokio::select! {
+                accepted = peers[0].accept() => (0, accepted),
+                accepted = peers[1].accept() => (1, accepted),
+            };
+            assert_eq!(peer, 1, "round {round}, job {number}: it is bound to large machines");
+            let mut wire = Wire::new(accepted.expect("a connection").0);
+            wire.read().await.expect("the job");
+            wire.send("HTTP/1.1 202 Accepted\r\nconnection: close\r\ncontent-length: 0\r\n\r\n").await;
+            let mut callback = dial(daemon.address).await;
+            let body = json!({"id": id, "from": "s-1", "state": "done", "result": "made"}).to_string();
+            callback.hand_in("/callback", "", &body).await;
+            assert_eq!(status(&callback.read().await), "200");
+            assert_eq!(status(&client.read().await), "200");
+        }
+        replace(&daemon.config, &config.to_string());
+        daemon.signal("-HUP");
+        daemon.logs("configuration.read").await;
+    }
+}
