Ask one permission at a request's first byte, and count what must never happen

Need: whether a request may still be written was a closure made anew at each kind of call, without a reason; nothing in the process noticed when a rule was broken in spite of it.

Change: `peers/permission.rs` is the one place that is asked at the first byte, and says why not (`attempt.withheld`). `connection.evicted` has its reason.

--- a/crates/vetchbridge/src/clients/connection.rs
+++ b/crates/vetchbridge/src/clients/connection.rs
@@ -274,6 +274,22 @@
         lock(&self.state).stage == Stage::Lingering
     }
 
+    /// Why it is ended by this side, for the log.
+    pub(super) fn end_reason(&self) -> &'static str {
+        let (overdue, state) = (self.overdue(Instant::now()), lock(&self.state));
+        match (overdue, state.stage) {
+            (_, _) if state.chosen.is_some() => "makes room",
+            (true, Stage::Answering) => "does not read its answer",
+            (true, _) => "its request did not arrive in time",
+            (false, _) => "ended",
+        }
+    }
+
+    /// Whether a request has been read whole whose answer has not been made.
+    pub(super) fn must_answer(&self) -> bool {
+        lock(&self.state).stage == Stage::Owing
+    }
+
     pub(super) fn owes(&self, now: Instant) -> bool {
         let state = lock(&self.state);
         state.stage == Stage::Owing || state.stage == Stage::Answering && now < state.since + YOUNG
--- a/crates/vetchbridge/src/clients/front.rs
+++ b/crates/vetchbridge/src/clients/front.rs
@@ -9,6 +9,7 @@
 use super::framing::HEAD_LIMIT;
 use super::{body, job};
 use crate::engine::Engine;
+use crate::invariants::{violated, Invariant};
 use crate::net::RetryingStream;
 use crate::operators::admin;
 use crate::operators::life::Life;
@@ -202,16 +203,22 @@
         tokio::select! {
             // First what has been read: a connection chosen to make room may have a request in hand.
             biased;
-            served = Pin::new(&mut serving) => if let Err(error) = served {
-                debug!(%error, "connection.broke");
-            },
-            () = connection.ended() => debug!("connection.evicted"),
+            served = Pin::new(&mut serving) => {
+                if let Err(error) = served {
+                    debug!(%error, "connection.broke");
+                }
+                return serving.into_parts().io.into_inner().close().await;
+            }
+            () = connection.ended() => debug!(reason = connection.end_reason(), "connection.evicted"),
             () = succeeded => {
                 let stream = serving.into_parts().io.into_inner().stream;
                 return self.pass(stream, connection.kept());
             }
             () = drained => debug!("connection.drained"),
         }
+        if connection.must_answer() {
+            violated(Invariant::OwedAnswerKeepsItsConnection, None, "closed by this side");
+        }
         serving.into_parts().io.into_inner().close().await;
     }
 
--- a/crates/vetchbridge/src/lib.rs
+++ b/crates/vetchbridge/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod clients;
 pub mod config;
 pub mod engine;
+pub mod invariants;
 pub mod list;
 mod log_writer;
 pub mod logs;
--- a/crates/vetchbridge/src/peers/callbacks.rs
+++ b/crates/vetchbridge/src/peers/callbacks.rs
@@ -5,6 +5,7 @@
 //! attempt here waits for.
 
 use super::{lock, request_id, worker_id};
+use crate::invariants::{violated, Invariant};
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 use silverproxy::interface::{RequestId, WorkerId};
@@ -102,7 +103,9 @@
     pub(super) fn listen(&self, id: RequestId, worker: WorkerId) -> Inbox {
         let ((sender, calls), key) = (unbounded_channel(), (id, worker));
         let table = &mut *lock(&self.0);
-        table.waiting.insert(key, sender);
+        if table.waiting.insert(key, sender).is_some() {
+            violated(Invariant::OneAttemptAtAWorker, Some(id), "an earlier attempt there still waits");
+        }
         while table.ended.front().is_some_and(|(at, ..)| at.elapsed() >= REPEATS) {
             table.ended.pop_front();
         }
--- a/crates/vetchbridge/src/peers/dial.rs
+++ b/crates/vetchbridge/src/peers/dial.rs
@@ -5,6 +5,7 @@
 
 use super::expiry::Expiry;
 use super::lock;
+use super::permission::SendPermission;
 use crate::net::{Connector, RetryingStream};
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper::Uri;
@@ -21,6 +22,7 @@
 use std::time::Duration;
 use tokio::time::{sleep_until, Instant, Sleep};
 use tower_service::Service;
+use tracing::debug;
 
 /// How many of a kind there are.
 #[derive(Clone, Default)]
@@ -52,9 +54,6 @@
 /// else be taken for that of the next request.
 pub(super) const REST: Duration = Duration::from_millis(20);
 
-/// Whether an exchange still may begin, asked as its first byte is about to be written.
-pub(super) type MayBegin = Box<dyn Fn() -> bool + Send>;
-
 /// Counts what is written to a connection, to tell requests that were written whole from those that were not, and holds
 /// back a request that no longer may be written.
 #[derive(Clone, Default)]
@@ -66,7 +65,7 @@
     /// So many of them belong to exchanges that are over.
     before: u64,
     /// There while the exchange in hand has no byte written.
-    may_begin: Option<MayBegin>,
+    permission: Option<SendPermission>,
     /// What the request in hand tells of its time.
     expiry: Option<Expiry>,
     /// Not a byte more goes out.
@@ -77,9 +76,9 @@
 impl Meter {
     /// The next exchange's request has been handed to this connection, and is not written yet. Both happen on the one
     /// thread, the writing in a task of the connection's own.
-    pub(super) fn begin(&self, may_begin: MayBegin, expiry: Option<Expiry>) {
+    pub(super) fn begin(&self, permission: SendPermission, expiry: Option<Expiry>) {
         let state = &mut *lock(&self.0);
-        (state.before, state.may_begin, state.expiry) = (state.written, Some(may_begin), expiry);
+        (state.before, state.permission, state.expiry) = (state.written, Some(permission), expiry);
     }
 
     /// Bytes written for the exchange in hand.
@@ -104,7 +103,7 @@
         if let Poll::Ready(Ok(bytes)) = &written {
             let state = &mut *lock(&self.0);
             state.written += *bytes as u64;
-            state.may_begin = state.may_begin.take().filter(|_| *bytes == 0);
+            state.permission = state.permission.take().filter(|_| *bytes == 0);
         }
         written
     }
@@ -135,7 +134,7 @@
     fn poll_may_write(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         let rested = {
             let state = lock(&self.meter.0);
-            match (state.closed, &state.may_begin) {
+            match (state.closed, &state.permission) {
                 (true, _) => return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into())),
                 (false, None) => return Poll::Ready(Ok(())),
                 (false, Some(_)) => state.last_read.map(|read| read + REST),
@@ -152,10 +151,11 @@
         let flags = RecvFlags::PEEK | RecvFlags::DONTWAIT;
         let says = retry_on_intr(|| recv(self.io.inner(), &mut [0; 1], flags));
         let silent = says == Err(Errno::AGAIN);
-        let wanted = lock(&self.meter.0).may_begin.as_ref().is_none_or(|may_begin| may_begin());
-        if silent && wanted {
+        let withheld = lock(&self.meter.0).permission.as_ref().and_then(SendPermission::withheld);
+        if silent && withheld.is_none() {
             return Poll::Ready(Ok(()));
         }
+        debug!(?withheld, silent, "attempt.withheld");
         self.meter.close();
         Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()))
     }
@@ -193,7 +193,7 @@
         let read = Pin::new(&mut self.io).poll_read(cx, buffer);
         if read.is_ready() {
             let state = &mut *lock(&self.meter.0);
-            if state.may_begin.is_some() {
+            if state.permission.is_some() {
                 // Bytes or an end, and no request to answer: what follows must not be read together with them.
                 state.closed = true;
                 return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
--- a/crates/vetchbridge/src/peers/exchange.rs
+++ b/crates/vetchbridge/src/peers/exchange.rs
@@ -3,8 +3,9 @@
 //! Owns what is written to peers and the bound on what is read. It must never say what an answer means for a job, and
 //! never write a header that [`written_length`] does not count.
 
-use super::dial::{MayBegin, Meter};
+use super::dial::Meter;
 use super::expiry::{self, header_length, request_line_length, Expiry, EXPIRES_IN};
+use super::permission::SendPermission;
 use super::{load, lock, Peer};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
@@ -134,7 +135,7 @@
         method: Method,
         target: &PathAndQuery,
         job: Option<(&Parcel, Duration)>,
-        may_begin: MayBegin,
+        permission: SendPermission,
     ) -> Exchange {
         let mut request =
             Request::new(Full::new(job.map(|(parcel, _)| parcel.body.clone()).unwrap_or_default()));
@@ -163,14 +164,14 @@
         let client = lock(&self.client).for_request();
         let (name, seen) = (self.name.clone(), Seen { connection: connection.clone(), length });
         let answer = async move {
-            let (mut in_hand, mut may_begin) = (InHand(None), Some(may_begin));
+            let (mut in_hand, mut permission) = (InHand(None), Some(permission));
             let mut answering = client.request(request);
             let response = poll_fn(|cx| {
                 let polled = Pin::new(&mut answering).poll(cx);
                 if in_hand.0.is_none() {
                     in_hand.0 = meter(&connection);
-                    let met = in_hand.0.as_ref().zip(may_begin.take_if(|_| in_hand.0.is_some()));
-                    met.into_iter().for_each(|(meter, may_begin)| meter.begin(may_begin, expiry.take()));
+                    let met = in_hand.0.as_ref().zip(permission.take_if(|_| in_hand.0.is_some()));
+                    met.into_iter().for_each(|(meter, permission)| meter.begin(permission, expiry.take()));
                 }
                 polled
             })
@@ -202,7 +203,7 @@
         if accepted {
             // An id is 16 hex digits, so this is a path.
             let Ok(target) = format!("/jobs/{id}").parse() else { return };
-            read_out(self.exchange(Method::DELETE, &target, None, Box::new(|| true)).answer);
+            read_out(self.exchange(Method::DELETE, &target, None, SendPermission::always()).answer);
         }
     }
 }
--- a/crates/vetchbridge/src/peers/mod.rs
+++ b/crates/vetchbridge/src/peers/mod.rs
@@ -12,6 +12,7 @@
 mod exchange;
 mod expiry;
 pub mod load;
+mod permission;
 
 pub use callbacks::{Callback, CallbackState};
 pub use dial::{Count, Counted};
@@ -25,6 +26,7 @@
 use hyper::http::uri::{Authority, PathAndQuery};
 use hyper::{Method, StatusCode};
 use load::Reports;
+use permission::SendPermission;
 use silverproxy::interface::{ListKind, LoadReport, MemberState, Micros, Note, RequestId, Status, WorkerId};
 use std::collections::{HashMap, HashSet};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -326,12 +328,9 @@
         let until = tokio::time::sleep(PROBE_WAIT);
         tokio::pin!(until);
         let mut unwritten = true;
-        let may_begin = Box::new({
-            let availability = availability.clone();
-            move || *availability.borrow() == Availability::Ready
-        });
+        let permission = SendPermission::while_available(availability.clone());
         let Exchange { seen, answer } =
-            peer.exchange(Method::GET, &PathAndQuery::from_static("/stats"), None, may_begin);
+            peer.exchange(Method::GET, &PathAndQuery::from_static("/stats"), None, permission);
         self.make_room();
         let whole = async {
             let mut reply = answer.await?;
@@ -392,13 +391,9 @@
         let until = tokio::time::sleep(wait);
         tokio::pin!(until);
         let mut availability = peer.availability.subscribe();
-        let wanted = move || Instant::now() < begin_by && !over.load(Ordering::Relaxed);
-        let may_begin = Box::new({
-            let (availability, wanted) = (availability.clone(), wanted.clone());
-            move || *availability.borrow() == Availability::Ready && wanted()
-        });
+        let permission = SendPermission::while_available(availability.clone()).until(begin_by, over);
         let Exchange { seen, mut answer } =
-            peer.exchange(Method::POST, &parcel.target, Some((parcel, wait)), may_begin);
+            peer.exchange(Method::POST, &parcel.target, Some((parcel, wait)), permission.clone());
         self.make_room();
         let (mut unwritten, mut accepted) = (true, false);
         // A peer takes a job at once or not at all: one that stays silent must not hold it to its deadline.
@@ -474,7 +469,7 @@
                         reply.drain();
                         return (Ended::Not(status), load);
                     }
-                    Err(Broken::NeverRan) => return not(if wanted() { Status::ConnectFailed } else { Status::Moot }),
+                    Err(Broken::NeverRan) => return not(if permission.wanted() { Status::ConnectFailed } else { Status::Moot }),
                     Err(Broken::MayHaveRun) => return not(Status::Reset),
                 },
                 // Dropping the exchange closes its connection, which gives the attempt up.
--- a/crates/vetchbridge/src/request.rs
+++ b/crates/vetchbridge/src/request.rs
@@ -5,6 +5,7 @@
 //! answer itself; it asks the module, through the engine, at each point of choice.
 
 use crate::engine::{Engine, Step};
+use crate::invariants::{violated, Invariant};
 use crate::logs::Id;
 use crate::peers::{Ended, Parcel, Terms, UpstreamGroup};
 use crate::snapshot::Snapshot;
@@ -168,7 +169,10 @@
                     let begin_by = match (effect.unwrap_or_default(), may_have_run.iter().flatten().next()) {
                         (Effect::Safe, _) | (_, None) => until,
                         (Effect::Keyed { window, .. }, Some(first)) => until.min(first.saturating_add(window)),
-                        (Effect::Unsafe, Some(_)) => sent,
+                        (Effect::Unsafe, Some(_)) => {
+                            violated(Invariant::UnsafeJobOnce, Some(id), "an attempt before may have run");
+                            sent
+                        }
                     };
                     may_have_run.push(Some(sent));
                     let (engine, upstream, parcel) = (&engine, &upstream, &parcel);
