Add a soak test: overlapping troubles, failing system calls and promises on real schedulers

Each scheduler's system calls fail by the seed. Judged by the account of answers and runs, and by checks of drains, departed clients, told deadlines, stopped clients, bad ends, and the schedulers' own violations. From 30 s on every kind of trouble and fault must have happened. Stand-in workers note each attempt that arrives with the time that it was told.

--- a/Makefile
+++ b/Makefile
@@ -1,15 +1,17 @@
-# CONFIG names the file that a scheduler is started with; DEMO adds words to the demonstration. See README.md.
+# CONFIG names the file that a scheduler is started with; DEMO adds words to the demonstration, SOAK to the
+# soak test. See README.md.
 CONFIG ?= vetchbridge.toml
 DEMO ?=
+SOAK ?=
 
-.PHONY: build kit test lint run demo bench sites
+.PHONY: build kit test lint run demo soak bench sites
 
 # The daemon and the simulator's adapter, and nothing of the kit.
 build:
 	cargo build --release --locked -p vetchbridge -p wirehost
 
 kit:
-	cargo build --release --locked -p vetchbridge -p vetchkit
+	cargo build --release --locked -p vetchbridge -p vetchkit -p syscall-faults
 
 # All tests; those that KNOWN-RED.txt lists may fail.
 test:
@@ -26,6 +28,10 @@
 demo: kit
 	target/release/vetchkit demo $(DEMO)
 
+# Troubles that overlap, against schedulers whose system calls fail, and the promises that must hold.
+soak: kit
+	target/release/vetchkit soak $(SOAK)
+
 # The daemon's processor time a request beside a bare relay's.
 bench: kit
 	target/release/vetchkit bench
--- a/crates/platform/src/peer/connection.rs
+++ b/crates/platform/src/peer/connection.rs
@@ -1,9 +1,10 @@
 //! One HTTP connection from a scheduler: reads jobs and cancellations, and answers them or misbehaves as scripted.
 
 use super::execution::JobFuture;
-use super::job::{request_id, JobRequest};
+use super::job::{expires_in, request_id, JobRequest};
 use super::script::Act;
 use super::state::PeerState;
+use crate::runs::AttemptArrival;
 use crate::wire::{Message, Wire};
 use std::net::SocketAddr;
 use std::ops::ControlFlow;
@@ -102,7 +103,12 @@
             Some(Err(_)) => return self.answer(400, "", "").await,
             None => return self.answer(404, "", "").await,
         };
-        self.peer.runs.attempt();
+        self.peer.runs.attempt(AttemptArrival {
+            id,
+            peer: self.peer.spec.name.clone(),
+            at: self.peer.elapsed(),
+            expires_in: expires_in(&message),
+        });
         if let ControlFlow::Break(keep_alive) = self.misbehave(&act).await {
             return keep_alive;
         }
--- a/crates/platform/src/peer/job.rs
+++ b/crates/platform/src/peer/job.rs
@@ -14,6 +14,15 @@
     message.header("x-trace-id").map(|id| u64::from_str_radix(id, 16))
 }
 
+/// How long the scheduler waits, as the request says it: a number with the unit `m` or `u`.
+pub(super) fn expires_in(message: &Message) -> Option<Duration> {
+    let text = message.header("x-expires-in")?;
+    match text.strip_suffix('u') {
+        Some(number) => number.parse().ok().map(Duration::from_micros),
+        None => text.strip_suffix('m')?.parse().ok().map(Duration::from_millis),
+    }
+}
+
 /// A job as its request describes it.
 pub(super) struct JobRequest {
     /// The request's id.
--- a/crates/platform/src/runs.rs
+++ b/crates/platform/src/runs.rs
@@ -53,9 +53,23 @@
     Running(usize),
 }
 
+/// An attempt that arrived whole at a peer, whatever became of it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AttemptArrival {
+    /// The request's id.
+    pub id: u64,
+    /// The peer's name.
+    pub peer: String,
+    /// Since the account began.
+    pub at: Duration,
+    /// How long the scheduler said that it would wait, if it said so.
+    pub expires_in: Option<Duration>,
+}
+
 #[derive(Default)]
 struct State {
     runs: Vec<Run>,
+    arrivals: Vec<AttemptArrival>,
     keys: HashMap<String, usize>,
     attempts: u64,
     dropped: u64,
@@ -72,8 +86,15 @@
     }
 
     /// Notes an attempt that arrived whole at a peer.
-    pub fn attempt(&self) {
-        self.state().attempts += 1;
+    pub fn attempt(&self, arrival: AttemptArrival) {
+        let state = &mut *self.state();
+        state.attempts += 1;
+        state.arrivals.push(arrival);
+    }
+
+    /// The attempts that arrived, in their order.
+    pub fn arrivals(&self) -> Vec<AttemptArrival> {
+        self.state().arrivals.clone()
     }
 
     /// Notes a probe that arrived at a peer.
--- a/crates/vetchkit/src/bench.rs
+++ b/crates/vetchkit/src/bench.rs
@@ -2,7 +2,7 @@
 //! in turns within one run. Owns the turns and the figures; the ratio is what counts, the figures depend on the machine.
 
 use crate::plan::Plan;
-use crate::scheduler::{cpu_time, memory_kib, Scheduler};
+use crate::scheduler::{cpu_time, memory_kib, Launch, Scheduler};
 use crate::stage::Stage;
 use crate::{machine, relay, Failure};
 use comfy_table::{presets, Table};
@@ -110,9 +110,10 @@
     for (number, (_, extra)) in VARIANTS.iter().enumerate() {
         let address = stage.schedulers[number].address();
         stage.schedulers[number].end().await;
-        let extra: Vec<String> = extra.iter().map(ToString::to_string).collect();
+        let extra = extra.iter().map(ToString::to_string).collect();
+        let launch = Launch { extra, ..Launch::default() };
         let config = folder.join(Plan::file_name(number));
-        stage.schedulers[number] = Scheduler::start(&binary, &config, address, &extra)?;
+        stage.schedulers[number] = Scheduler::start(&binary, &config, address, launch)?;
     }
     let port = Port::reserve().map_err(machine("a port for the relay's peer"))?;
     let _peer = Owned::spawn(relay::answer_at_once(port.listen().map_err(machine("the relay's peer"))?));
--- a/crates/vetchkit/src/cli.rs
+++ b/crates/vetchkit/src/cli.rs
@@ -3,6 +3,7 @@
 use crate::plan::{self, Plan};
 use crate::report::{PeerSide, Report};
 use crate::runner::{self, Interrupt, Progress, Trouble};
+use crate::soak::{self, SoakSpec};
 use crate::stage::Stage;
 use crate::{bench, relay, Failure};
 use clap::{Args, CommandFactory, Parser, Subcommand};
@@ -124,6 +125,27 @@
         #[command(flatten)]
         staging: Staging,
     },
+    /// Play troubles that overlap against real schedulers whose system calls fail, and hold them to their promises
+    #[command(after_help = "\
+Examples:
+  vetchkit soak --seed 7 --for 60s
+  vetchkit soak --seed 7 --for 10s --schedulers 6 --logs logs     shorter and smaller, with what it leaves
+
+The last line counts troubles, overlaps, faults and violations; exit code 0 only if every promise was kept and, from 30 s on,
+every kind of trouble and of fault has happened.")]
+    Soak {
+        /// Draws troubles and faults
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// For how long
+        #[arg(long = "for", default_value = "30s", value_name = "SPAN")]
+        duration: Span,
+        /// How many schedulers; 24 where it is absent
+        #[arg(long, value_parser = clap::value_parser!(u64).range(3..=48))]
+        schedulers: Option<u64>,
+        #[command(flatten)]
+        staging: Staging,
+    },
     /// Measure the daemon's processor time a request beside a bare relay's, in turns
     #[command(after_help = "Example:\n  vetchkit bench --connections 32 --turn 3s --rounds 5")]
     Bench {
@@ -223,6 +245,10 @@
                 .collect();
             demo(&plan, &troubles, json, &staging).await
         }
+        Command::Soak { seed, duration, schedulers, staging } => {
+            let schedulers = schedulers.map(|count| count as usize);
+            soak(SoakSpec { seed, span: duration.duration(), schedulers }, &staging).await
+        }
         Command::Bench { connections, turn, rounds, daemon, json } => {
             if connections == 0 || rounds == 0 {
                 return Err(Failure::BadInput("--connections and --rounds must be at least 1".to_string()));
@@ -334,6 +360,20 @@
     Err(Failure::Missed(bad.join("\n")))
 }
 
+/// Descriptors of a soak test: listeners of each peer for each scheduler, crowds, the load and what is in flight.
+const SOAK_DESCRIPTORS: u64 = 8192;
+
+async fn soak(spec: SoakSpec, staging: &Staging) -> Result<(), Failure> {
+    descriptors(SOAK_DESCRIPTORS)?;
+    let filter = staging.log_filter.as_deref().unwrap_or("info");
+    let report = soak::run(spec, staging.daemon.as_deref(), staging.logs.as_deref(), filter).await?;
+    print(&report.text())?;
+    if report.held() {
+        return Ok(());
+    }
+    Err(Failure::Missed("not every promise was kept, or not everything happened".to_string()))
+}
+
 async fn load(
     plan: &Plan,
     to: Vec<SocketAddr>,
--- a/crates/vetchkit/src/lib.rs
+++ b/crates/vetchkit/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod report;
 pub mod runner;
 pub mod scheduler;
+pub mod soak;
 pub mod stage;
 
 use std::fmt;
--- a/crates/vetchkit/src/plan/mod.rs
+++ b/crates/vetchkit/src/plan/mod.rs
@@ -23,8 +23,12 @@
 /// The plan of the demonstration.
 pub const DEMO: &str = include_str!("../../plans/demo.toml");
 
+/// The plan of the soak test.
+pub const SOAK: &str = include_str!("../../plans/soak.toml");
+
 /// The built-in plans by their names; a file of such a name is given as `./demo`.
-pub const BUILT_IN: [(&str, &str); 2] = [("demo", DEMO), ("scans", include_str!("../../plans/scans.toml"))];
+pub const BUILT_IN: [(&str, &str); 3] =
+    [("demo", DEMO), ("scans", include_str!("../../plans/scans.toml")), ("soak", SOAK)];
 
 /// A platform on one machine.
 #[derive(Clone, Debug, Deserialize, Serialize, JsonSchema)]
--- a/crates/vetchkit/src/runner.rs
+++ b/crates/vetchkit/src/runner.rs
@@ -21,9 +21,9 @@
 /// Between two lines of progress where there is no terminal.
 const LINE_EVERY: Duration = Duration::from_secs(5);
 /// A killed scheduler comes back after this.
-const DOWN: Duration = Duration::from_secs(2);
+pub const DOWN: Duration = Duration::from_secs(2);
 /// How long, beyond the front's notice, clients may still be sent to a dead scheduler: its last question and answer.
-const NOTICE_SLACK: Duration = Duration::from_millis(700);
+pub const NOTICE_SLACK: Duration = Duration::from_millis(700);
 
 /// A drained scheduler stands so for this long.
 const DRAINED: Duration = Duration::from_secs(2);
@@ -226,16 +226,19 @@
     };
     let mut record = record.map_err(|error| Failure::BadInput(error.to_string()))?;
     stage.all_live()?;
-    // The peers' account began with the stage, the clients' with the load.
-    let shift = |time: Duration| time + offset;
+    count_from_earlier(&mut record, offset);
+    for outage in &mut outages {
+        (outage.from, outage.until) = (outage.from + offset, outage.until + offset);
+    }
+    Ok((record, outages))
+}
+
+/// Has a record's times count from so much before the load: the peers' account began with the stage.
+pub fn count_from_earlier(record: &mut LoadRecord, offset: Duration) {
     for job in &mut record.jobs {
-        job.arrival.at = shift(job.arrival.at);
+        job.arrival.at += offset;
         for one in &mut job.tries {
-            (one.sent, one.ended) = (shift(one.sent), shift(one.ended));
+            (one.sent, one.ended) = (one.sent + offset, one.ended + offset);
         }
     }
-    for outage in &mut outages {
-        (outage.from, outage.until) = (shift(outage.from), shift(outage.until));
-    }
-    Ok((record, outages))
 }
--- a/crates/vetchkit/src/scheduler.rs
+++ b/crates/vetchkit/src/scheduler.rs
@@ -99,9 +99,19 @@
     log: PathBuf,
     address: SocketAddr,
     extra: Vec<String>,
+    environment: Vec<(String, String)>,
     running: Option<Running>,
 }
 
+/// What a scheduler's process is started with beside its configuration.
+#[derive(Clone, Debug, Default)]
+pub struct Launch {
+    /// Further words of its command line.
+    pub extra: Vec<String>,
+    /// Its environment.
+    pub environment: Vec<(String, String)>,
+}
+
 /// The daemon's binary: the one named, or the one beside the kit's own.
 pub fn binary(named: Option<&Path>) -> Result<PathBuf, Failure> {
     let path = match named {
@@ -121,14 +131,15 @@
         binary: &Path,
         config: &Path,
         address: SocketAddr,
-        extra: &[String],
+        launch: Launch,
     ) -> Result<Scheduler, Failure> {
         let mut scheduler = Scheduler {
             binary: binary.to_path_buf(),
             config: config.to_path_buf(),
             log: config.with_extension("log"),
             address,
-            extra: extra.to_vec(),
+            extra: launch.extra,
+            environment: launch.environment,
             running: None,
         };
         scheduler.restart()?;
@@ -150,6 +161,7 @@
         // Its own group: a Ctrl-C is the kit's to pass on.
         command
             .env_clear()
+            .envs(self.environment.iter().map(|(name, value)| (name, value)))
             .env("BALANCER_ADMIN", admin.address().to_string())
             .stdin(Stdio::null())
             .stdout(Stdio::null())
@@ -187,6 +199,18 @@
         running.says("resume", |answer| answer == "ok serving").await
     }
 
+    /// Has it read its configuration again.
+    pub fn hang_up(&self) {
+        if let Some(pid) = self.pid().and_then(|pid| Pid::from_raw(pid as i32)) {
+            let _ = kill_process(pid, Signal::HUP);
+        }
+    }
+
+    /// Its configuration.
+    pub fn config(&self) -> &Path {
+        &self.config
+    }
+
     /// Its address.
     pub fn address(&self) -> SocketAddr {
         self.address
--- /dev/null
+++ b/crates/vetchkit/src/soak/mod.rs
@@ -0,0 +1,205 @@
+//! The soak test: a few dozen real schedulers under load, with troubles that overlap in time and system calls that fail, all
+//! drawn from one seed, judged by invariants.
+//!
+//! [`troubles`] happen to the platform, [`clients`] misbehave, [`faults`] are made in the schedulers' own processes, and
+//! [`checks`] hold what was seen against the promises. It must never excuse what a promise does not.
+
+pub mod checks;
+mod clients;
+mod faults;
+mod troubles;
+
+use crate::plan::{self, Plan};
+use crate::runner::{count_from_earlier, Interrupt, Progress, NOTICE_SLACK};
+use crate::scheduler::{Launch, Scheduler};
+use crate::stage::Stage;
+use crate::Failure;
+use checks::{Broken, Evidence};
+use clients::Misbehaved;
+use faults::FaultPlan;
+use platform::account::{judge, Outage};
+use platform::client::Clients;
+use std::collections::BTreeSet;
+use std::path::Path;
+use std::time::Duration;
+use tokio::time::Instant;
+use troubles::{Episode, Journal, TroubleKind};
+
+/// From this span on, each kind of trouble and of fault must have happened.
+const FULL_SPAN: Duration = Duration::from_secs(30);
+
+/// What is to be soaked.
+#[derive(Clone, Copy, Debug)]
+pub struct SoakSpec {
+    /// The seed of troubles and faults.
+    pub seed: u64,
+    /// How long the load lasts.
+    pub span: Duration,
+    /// How many schedulers there are; the plan's number where it is absent.
+    pub schedulers: Option<usize>,
+}
+
+/// What came of it.
+#[derive(Debug)]
+pub struct SoakReport {
+    /// Each trouble, with its time.
+    pub episodes: Vec<Episode>,
+    /// System calls that failed, by the fault's name.
+    pub faults: Vec<(&'static str, u64)>,
+    /// Answers to the load's tries, in words.
+    pub answers: String,
+    /// Broken promises.
+    pub broken: Vec<Broken>,
+    seed: u64,
+    full: bool,
+}
+
+impl SoakReport {
+    /// Pairs of troubles that overlapped in time.
+    pub fn overlaps(&self) -> usize {
+        let pair = |(at, one): (usize, &Episode)| {
+            self.episodes[at + 1..].iter().filter(|other| one.overlaps(other)).count()
+        };
+        self.episodes.iter().enumerate().map(pair).sum()
+    }
+
+    /// What should have happened in a full span and did not.
+    pub fn missing(&self) -> Vec<String> {
+        if !self.full {
+            return Vec::new();
+        }
+        let happened: BTreeSet<TroubleKind> = self.episodes.iter().map(|episode| episode.kind).collect();
+        let troubles = TroubleKind::ALL.iter().filter(|kind| !happened.contains(*kind));
+        let troubles = troubles.map(|kind| format!("no trouble {kind:?} happened"));
+        let faults = self.faults.iter().filter(|(_, times)| *times == 0);
+        troubles.chain(faults.map(|(name, _)| format!("no fault {name} was made"))).collect()
+    }
+
+    /// As text; the last line counts.
+    pub fn text(&self) -> String {
+        let mut text = format!("answers   {}\n", self.answers);
+        for kind in TroubleKind::ALL {
+            let times = self.episodes.iter().filter(|episode| episode.kind == *kind).count();
+            text.push_str(&format!("trouble   {kind:?} {times}\n"));
+        }
+        for (name, times) in &self.faults {
+            text.push_str(&format!("fault     {name} at least {times}\n"));
+        }
+        for broken in self.broken.iter().take(20) {
+            text.push_str(&format!("broken    {broken}\n"));
+        }
+        for missing in self.missing() {
+            text.push_str(&format!("missing   {missing}\n"));
+        }
+        let faults: u64 = self.faults.iter().map(|(_, times)| times).sum();
+        text.push_str(&format!(
+            "seed {}: {} troubles, {} overlaps, {faults} faults, {} violations\n",
+            self.seed,
+            self.episodes.len(),
+            self.overlaps(),
+            self.broken.len()
+        ));
+        text
+    }
+
+    /// Whether every promise was kept and everything happened that was to.
+    pub fn held(&self) -> bool {
+        self.broken.is_empty() && self.missing().is_empty()
+    }
+}
+
+/// Plays it.
+pub async fn run(
+    spec: SoakSpec,
+    daemon: Option<&Path>,
+    logs: Option<&Path>,
+    log_filter: &str,
+) -> Result<SoakReport, Failure> {
+    let mut plan = Plan::parse("the built-in plan soak", plan::SOAK)?;
+    plan.schedulers.count = spec.schedulers.unwrap_or(plan.schedulers.count);
+    let library = faults::library()?;
+    let interrupt = Interrupt::listen()?;
+    let launch = |number: usize, folder: &Path| Launch {
+        extra: vec!["--log-filter".to_string(), log_filter.to_string()],
+        environment: FaultPlan::drawn(spec.seed, number).environment(&library, folder, number),
+    };
+    let mut stage = interrupt.unless_asked(Stage::set_with(&plan, daemon, logs, launch)).await?;
+    let load = plan.load_spec();
+    let clients = Clients::new(load.clone(), vec![stage.front.address()]);
+    let clients = clients.map_err(|error| Failure::BadInput(error.to_string()))?;
+    let began = Instant::now();
+    let offset = began.duration_since(stage.began);
+    let journal = Journal::new(stage.began);
+    let misbehaved = Misbehaved::default();
+    let mut progress = Progress::new(spec.span);
+    let load_runs = clients.run(began, spec.span, interrupt.subscribe(), |at| progress.show(at));
+    let addresses: Vec<_> = stage.schedulers.iter().map(Scheduler::address).collect();
+    let (record, ()) = {
+        let ground = troubles::Ground {
+            seed: spec.seed,
+            until: began + spec.span,
+            peers: &stage.peers,
+            discovery: &stage.discovery,
+            journal: &journal,
+        };
+        let all = ground.all(&mut stage.schedulers, &addresses, &misbehaved);
+        tokio::try_join!(
+            async { load_runs.await.map_err(|error| Failure::BadInput(error.to_string())) },
+            interrupt.unless_asked(all)
+        )?
+    };
+    let mut record = record;
+    count_from_earlier(&mut record, offset);
+    let unasked = stage.all_live().err().map(|failure| failure.to_string());
+    // Logs are read after the end, which tells of violations too.
+    let log_paths: Vec<_> = stage.schedulers.iter().map(|scheduler| scheduler.log().to_path_buf()).collect();
+    let folder = stage.folder().to_path_buf();
+    let runs = stage.runs.clone();
+    let front_notice = stage.front.notice();
+    let keep = stage.take_folder();
+    let bad_ends = stage.end().await;
+    let episodes = journal.episodes();
+    let outages: Vec<Outage> = episodes
+        .iter()
+        .filter(|episode| episode.kind == TroubleKind::SchedulerDies)
+        .map(|episode| Outage { from: episode.from, until: episode.from + front_notice + NOTICE_SLACK })
+        .collect();
+    let strangers = misbehaved.ids();
+    let own = |id: &u64| !strangers.contains(id);
+    let known_runs: Vec<_> = runs.all();
+    let verdict = judge(&load.classes, &record.jobs, Some(&known_runs), &outages);
+    let mut broken: Vec<Broken> = verdict
+        .violations
+        .iter()
+        .filter(|violation| !matches!(violation, platform::account::Violation::Unasked(id) if !own(id)))
+        .map(|violation| Broken::Account(violation.to_string()))
+        .collect();
+    broken.extend(unasked.into_iter().chain(bad_ends).map(Broken::Process));
+    let log_texts: Vec<String> =
+        log_paths.iter().map(|path| std::fs::read_to_string(path).unwrap_or_default()).collect();
+    broken.extend(checks::all(&Evidence {
+        episodes: &episodes,
+        arrivals: &runs.arrivals(),
+        jobs: &record.jobs,
+        classes: &load.classes,
+        departures: &misbehaved.departures(),
+        stayed: &misbehaved.stayed(),
+        logs: &log_texts,
+        discovery_lateness: troubles::LATEST_NEWS,
+    }));
+    let faults = faults::counts(&folder);
+    drop(keep);
+    let a = verdict.answers;
+    let answers = format!(
+        "{} jobs: {} served, {} refused, {} failed, {} lost, {} unreachable, {} timed out",
+        record.jobs.len(),
+        a.served,
+        a.refused,
+        a.failed,
+        a.lost,
+        a.unreachable,
+        a.none
+    );
+    let full = spec.span >= FULL_SPAN;
+    Ok(SoakReport { episodes, faults, answers, broken, seed: spec.seed, full })
+}
--- a/crates/vetchkit/src/stage.rs
+++ b/crates/vetchkit/src/stage.rs
@@ -3,7 +3,7 @@
 //! Owns everything that was started; dropping it ends all of it. It must never judge what happens on it.
 
 use crate::plan::{KnownPeer, Plan, SchedulerSpec};
-use crate::scheduler::{binary, Scheduler};
+use crate::scheduler::{binary, Launch, Scheduler};
 use crate::{machine, Failure};
 use platform::discovery::Discovery;
 use platform::front::Front;
@@ -49,6 +49,17 @@
         daemon: Option<&Path>,
         logs: Option<&Path>,
         extra: &[String],
+    ) -> Result<Stage, Failure> {
+        let same = |_: usize, _: &Path| Launch { extra: extra.to_vec(), environment: Vec::new() };
+        Stage::set_with(plan, daemon, logs, same).await
+    }
+
+    /// The same, where each scheduler is launched in its own way, told by its number and the folder of its files.
+    pub async fn set_with(
+        plan: &Plan,
+        daemon: Option<&Path>,
+        logs: Option<&Path>,
+        launch: impl Fn(usize, &Path) -> Launch,
     ) -> Result<Stage, Failure> {
         let binary = binary(daemon)?;
         let folder = match logs {
@@ -76,7 +87,7 @@
             .map_err(machine("the front"))?;
         let mut stage =
             Stage { schedulers: Vec::new(), peers, discovery, runs, front, began, folder, _ports: ports };
-        stage.start_schedulers(plan, &binary, &addresses, extra)?;
+        stage.start_schedulers(plan, &binary, &addresses, launch)?;
         stage.ready().await?;
         Ok(stage)
     }
@@ -87,7 +98,7 @@
         plan: &Plan,
         binary: &Path,
         addresses: &[SocketAddr],
-        extra: &[String],
+        launch: impl Fn(usize, &Path) -> Launch,
     ) -> Result<(), Failure> {
         for (number, listen) in addresses.iter().copied().enumerate() {
             let path = self.folder().join(Plan::file_name(number));
@@ -99,7 +110,8 @@
                 handover: Some(path.with_extension("handover")),
             });
             std::fs::write(&path, text).map_err(machine("a scheduler's configuration"))?;
-            self.schedulers.push(Scheduler::start(binary, &path, listen, extra)?);
+            let launch = launch(number, self.folder());
+            self.schedulers.push(Scheduler::start(binary, &path, listen, launch)?);
         }
         Ok(())
     }
@@ -119,6 +131,15 @@
         }
     }
 
+    /// Keeps the folder of files and logs beyond the stage's end: it goes with what is returned, unless it was named.
+    pub fn take_folder(&mut self) -> Option<tempfile::TempDir> {
+        let path = self.folder().to_path_buf();
+        match std::mem::replace(&mut self.folder, Folder::Named(path)) {
+            Folder::Passing(folder) => Some(folder),
+            Folder::Named(_) => None,
+        }
+    }
+
     /// Waits until the front deals to every scheduler.
     pub async fn ready(&mut self) -> Result<(), Failure> {
         let (asked, mut every) = (Instant::now(), interval(Duration::from_millis(20)));
