Let a newcomer cost what changes, not how many client connections there are

Cause: `relief`, `place` and `make_room` in connections.rs each went through the whole table, with a lock for every connection, at each turn of the accept loop. Callgrind: `spare`, `fresh`, the table's iterators and its locks lead the list.

Change: `clients/spare.rs` keeps the order in which connections make room as they change: one sorted set for each group, by the time since when it is so. A newcomer looks at the first of each.

A test compares tables of 1,000 and 16,000.

--- a/crates/vetchbridge/src/clients/connection.rs
+++ b/crates/vetchbridge/src/clients/connection.rs
@@ -6,6 +6,7 @@
 
 use super::framing::{Watch, HEAD_LIMIT};
 use super::lock;
+use super::spare::{Group, SpareOrder, Standing, YOUNG};
 use crate::net::RetryingStream;
 use std::io;
 use std::pin::Pin;
@@ -26,12 +27,6 @@
 const LINGER: Duration = Duration::from_millis(300);
 /// The most that is read and dropped then.
 const DROPPED: usize = 1 << 20;
-/// A connection younger than this may have its first bytes on the way.
-pub(super) const YOUNG: Duration = Duration::from_millis(250);
-/// A connection younger than this makes room for nobody: it has not had the time to send anything.
-const FRESH: Duration = Duration::from_millis(10);
-/// The last to make room, and only for another newcomer.
-pub(super) const NEWCOMER: u32 = 6;
 /// What follows a request in hand is read in pieces of this size.
 const PIECE: usize = 512;
 
@@ -69,6 +64,21 @@
 }
 
 impl State {
+    /// Where it stands in the order in which connections make room; `None`: it can't be spared.
+    fn standing(&self) -> Standing {
+        let group = match self.stage {
+            _ if self.chosen.is_some() => return None,
+            Stage::Lingering => Group::Lingering,
+            Stage::Silent => Group::Silent,
+            Stage::Arriving if !self.watch.callback => Group::Arriving,
+            Stage::Idle if self.watch.callback => Group::IdleCallback,
+            Stage::Idle if self.answered <= 1 => Group::IdleOnce,
+            Stage::Idle => Group::IdleKept,
+            Stage::Arriving | Stage::Owing | Stage::Answering => return None,
+        };
+        Some((group, self.since))
+    }
+
     fn see(&mut self, bytes: &[u8]) -> usize {
         let own = self.watch.see(bytes);
         self.whole = own > 0 && self.watch.whole();
@@ -84,17 +94,36 @@
 
 /// One accepted connection.
 pub struct ClientConnection {
+    number: u64,
     state: Mutex<State>,
+    order: Arc<Mutex<SpareOrder>>,
     ended: Notify,
     rests: Notify,
 }
 
 impl ClientConnection {
-    pub(super) fn new() -> ClientConnection {
+    /// One that has just been made; its number is its own in the order.
+    pub(super) fn new(number: u64, order: Arc<Mutex<SpareOrder>>) -> ClientConnection {
         let (stage, since, watch) = (Stage::Silent, Instant::now(), Watch::new());
         let (ahead, whole, overrun) = (Vec::new(), false, false);
         let state = State { stage, since, answered: 0, chosen: None, watch, whole, ahead, overrun };
-        ClientConnection { state: Mutex::new(state), ended: Notify::new(), rests: Notify::new() }
+        lock(&order).move_to(number, None, state.standing());
+        let (ended, rests) = (Notify::new(), Notify::new());
+        ClientConnection { number, state: Mutex::new(state), order, ended, rests }
+    }
+
+    /// Changes what it is doing, and its place in the order with that.
+    fn change<T>(&self, change: impl FnOnce(&mut State) -> T) -> T {
+        let state = &mut *lock(&self.state);
+        let (before, was_leaving) = (state.standing(), state.chosen.is_some());
+        let changed = change(state);
+        let (after, leaves) = (state.standing(), state.chosen.is_some());
+        if (before, was_leaving) != (after, leaves) {
+            let order = &mut *lock(&self.order);
+            order.move_to(self.number, before, after);
+            order.leaving = order.leaving + usize::from(leaves) - usize::from(was_leaving);
+        }
+        changed
     }
 
     /// Resolves when the connection must end now. One whose request came whole after it was chosen to make room
@@ -160,26 +189,21 @@
 
     /// Our side is closed. It holds its descriptor again until it has gone, also where it was chosen to make room.
     pub(super) fn linger(&self) {
-        let state = &mut *lock(&self.state);
-        (state.stage, state.since, state.chosen) = (Stage::Lingering, Instant::now(), None);
-        state.ahead = Vec::new();
-    }
-
-    pub(super) fn stays(&self) -> bool {
-        lock(&self.state).chosen.is_none()
+        self.change(|state| {
+            (state.stage, state.since, state.chosen) = (Stage::Lingering, Instant::now(), None);
+            state.ahead = Vec::new();
+        });
     }
 
     /// It is to make room.
     pub(super) fn choose(&self) {
-        let state = &mut *lock(&self.state);
-        state.chosen = Some(state.stage);
+        self.change(|state| state.chosen = Some(state.stage));
         self.ended.notify_one();
     }
 
     /// Another process has answered on it already.
     pub fn keep(&self) {
-        let state = &mut *lock(&self.state);
-        (state.stage, state.answered) = (Stage::Idle, 1);
+        self.change(|state| (state.stage, state.answered) = (Stage::Idle, 1));
     }
 
     /// Whether it has had an answer already.
@@ -189,20 +213,20 @@
 
     /// The request is whole, an answer is owed.
     pub fn owe(&self) {
-        lock(&self.state).stage = Stage::Owing;
+        self.change(|state| state.stage = Stage::Owing);
     }
 
     /// The answer has been made.
     pub fn answered(&self) {
-        let state = &mut *lock(&self.state);
-        (state.stage, state.since) = (Stage::Answering, Instant::now());
-        state.answered += 1;
+        self.change(|state| {
+            (state.stage, state.since) = (Stage::Answering, Instant::now());
+            state.answered += 1;
+        });
     }
 
     /// Bytes have come of the request that is arriving; how many of them are its own.
     pub(super) fn seen(&self, bytes: &[u8]) -> usize {
-        let state = &mut *lock(&self.state);
-        state.see(bytes)
+        self.change(|state| state.see(bytes))
     }
 
     /// Whether a whole request is in hand, so that nothing more is to be handed on until it has been answered.
@@ -212,17 +236,18 @@
 
     /// Hands on what came too early, as far as it belongs to one request; false if there is nothing.
     fn hand_on(&self, buffer: &mut ReadBuf<'_>) -> bool {
-        let state = &mut *lock(&self.state);
-        if state.ahead.is_empty() {
-            return false;
-        }
-        let mut ahead = std::mem::take(&mut state.ahead);
-        let room = ahead.len().min(buffer.remaining());
-        let own = state.see(&ahead[..room]);
-        buffer.put_slice(&ahead[..own]);
-        ahead.drain(..own);
-        state.ahead = ahead;
-        true
+        self.change(|state| {
+            if state.ahead.is_empty() {
+                return false;
+            }
+            let mut ahead = std::mem::take(&mut state.ahead);
+            let room = ahead.len().min(buffer.remaining());
+            let own = state.see(&ahead[..room]);
+            buffer.put_slice(&ahead[..own]);
+            ahead.drain(..own);
+            state.ahead = ahead;
+            true
+        })
     }
 
     /// Whether what comes while a request is in hand can still be read.
@@ -245,15 +270,19 @@
 
     /// What has been written has left; whether the next request is here already.
     pub(super) fn flushed(&self) -> bool {
-        let state = &mut *lock(&self.state);
-        if state.stage != Stage::Answering {
-            return false;
-        }
-        let ahead = !state.ahead.is_empty();
-        state.stage = if state.watch.between_requests() && !ahead { Stage::Idle } else { Stage::Arriving };
-        (state.since, state.whole) = (Instant::now(), false);
+        let flushed = self.change(|state| {
+            if state.stage != Stage::Answering {
+                return None;
+            }
+            let ahead = !state.ahead.is_empty();
+            state.stage =
+                if state.watch.between_requests() && !ahead { Stage::Idle } else { Stage::Arriving };
+            (state.since, state.whole) = (Instant::now(), false);
+            Some((ahead, state.chosen.is_some()))
+        });
+        let Some((ahead, makes_room)) = flushed else { return false };
         self.rests.notify_waiters();
-        if state.chosen.is_some() {
+        if makes_room {
             self.ended.notify_one();
         }
         ahead
@@ -294,31 +323,14 @@
         let state = lock(&self.state);
         state.stage == Stage::Owing || state.stage == Stage::Answering && now < state.since + YOUNG
     }
+}
 
-    /// Until when it is too young to go, if it is.
-    pub(super) fn fresh(&self, now: Instant) -> Option<Instant> {
-        let state = lock(&self.state);
-        Some(state.since + FRESH).filter(|until| state.stage == Stage::Silent && now < *until)
-    }
-
-    /// Its place among those that may go to make room, the first to go lowest; `None`: it stays.
-    pub(super) fn spare(&self, now: Instant) -> Option<(u32, Instant)> {
+impl Drop for ClientConnection {
+    fn drop(&mut self) {
         let state = lock(&self.state);
-        let older_than = |age| now >= state.since + age;
-        let rank = match state.stage {
-            _ if state.chosen.is_some() => return None,
-            Stage::Lingering => 0,
-            Stage::Silent if older_than(YOUNG) => 1,
-            Stage::Arriving if older_than(YOUNG) && !state.watch.callback => 2,
-            // A peer's next callback is worth more than a client that can connect again.
-            Stage::Idle if state.watch.callback => 5,
-            // One that has asked again and again is a better guest than one that asked once and stayed.
-            Stage::Idle if state.answered <= 1 => 3,
-            Stage::Idle => 4,
-            Stage::Silent if older_than(FRESH) => NEWCOMER,
-            Stage::Silent | Stage::Arriving | Stage::Owing | Stage::Answering => return None,
-        };
-        Some((rank, state.since))
+        let order = &mut *lock(&self.order);
+        order.move_to(self.number, state.standing(), None);
+        order.leaving -= usize::from(state.chosen.is_some());
     }
 }
 
@@ -433,7 +445,7 @@
     /// The time of a request counts over its head and body, and from connecting for the first.
     #[tokio::test(start_paused = true)]
     async fn a_request_that_does_not_arrive_is_overdue_and_one_that_is_owed_an_answer_never() {
-        let connection = ClientConnection::new();
+        let connection = ClientConnection::new(1, Arc::default());
         let after = |share: f64| Instant::now() + ARRIVAL.mul_f64(share);
         tokio::time::advance(ARRIVAL / 2).await;
         connection.seen(b"POST /a HTTP/1.1\r\nContent-Length: 2\r\n\r\n");
--- a/crates/vetchbridge/src/clients/connections.rs
+++ b/crates/vetchbridge/src/clients/connections.rs
@@ -3,8 +3,9 @@
 //! Owns the budget of descriptors for them (what the limit leaves beside the program and the peers), and who makes room
 //! when it is used up. It must never end a connection that says of itself that it can't be spared.
 
-use super::connection::{ClientConnection, NEWCOMER};
+use super::connection::ClientConnection;
 use super::lock;
+use super::spare::{Newcomers, SpareOrder};
 use crate::peers::Count;
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
@@ -33,19 +34,21 @@
 struct Table {
     open: BTreeMap<u64, Arc<ClientConnection>>,
     next: u64,
+    order: Arc<Mutex<SpareOrder>>,
 }
 
 impl Table {
+    /// How many there are beside those that have been chosen to make room.
     fn staying(&self) -> usize {
-        self.open.values().filter(|c| c.stays()).count()
+        self.open.len().saturating_sub(lock(&self.order).leaving)
     }
 
-    /// Sends away the connection that can best be spared, of those that rank no higher; false if there is none.
-    fn make_room(&self, highest: u32, now: Instant) -> bool {
-        let spare = self.open.values().filter_map(|c| Some((c.spare(now)?, c)));
-        let first = spare.filter(|((rank, _), _)| *rank <= highest).min_by_key(|(place, _)| *place);
-        first.iter().for_each(|(_, connection)| connection.choose());
-        first.is_some()
+    /// Sends away the connection that can best be spared; false if there is none.
+    fn make_room(&self, newcomers: Newcomers, now: Instant) -> bool {
+        let best = lock(&self.order).best(newcomers, now);
+        let best = best.and_then(|number| self.open.get(&number));
+        best.into_iter().for_each(|connection| connection.choose());
+        best.is_some()
     }
 }
 
@@ -105,9 +108,8 @@
     pub fn relief(&self, elsewhere: Elsewhere) -> Option<Instant> {
         let (now, table) = (Instant::now(), lock(&self.table));
         let over = (table.staying() + 1).saturating_sub(self.budget(elsewhere));
-        let room = table.open.values().filter(|c| c.spare(now).is_some()).count() >= over;
-        let fresh = table.open.values().filter_map(|c| c.fresh(now)).min();
-        fresh.filter(|_| !room)
+        let order = lock(&table.order);
+        order.next_newcomer(now).filter(|_| !order.has(over, now))
     }
 
     /// A place for a new connection, if need be that of one that can be spared; `None` if there is none.
@@ -115,12 +117,13 @@
         let table = &mut *lock(&self.table);
         // Those that made room for others before and have not gone yet hold descriptors as well.
         while table.staying() >= self.budget(elsewhere) {
-            if !table.make_room(NEWCOMER, Instant::now()) {
+            if !table.make_room(Newcomers::MayGo, Instant::now()) {
                 return None;
             }
         }
         table.next += 1;
-        let (number, connection) = (table.next, Arc::new(ClientConnection::new()));
+        let (number, connection) =
+            (table.next, Arc::new(ClientConnection::new(table.next, table.order.clone())));
         table.open.insert(number, connection.clone());
         Some(Place { owner: self, number, connection })
     }
@@ -141,7 +144,7 @@
         let (now, table) = (Instant::now(), lock(&self.table));
         table.open.values().filter(|c| c.overdue(now)).for_each(|c| c.end());
         let over = table.staying().saturating_sub(self.budget(elsewhere));
-        _ = (0..over).all(|_| table.make_room(NEWCOMER - 1, now));
+        _ = (0..over).all(|_| table.make_room(Newcomers::Stay, now));
     }
 }
 
--- a/crates/vetchbridge/src/clients/connections/tests.rs
+++ b/crates/vetchbridge/src/clients/connections/tests.rs
@@ -1,8 +1,9 @@
 //! The budget of client connections: who makes room, and what is left to the peers.
 
 use super::*;
-use crate::clients::connection::YOUNG;
+use crate::clients::spare::YOUNG;
 use crate::peers::Counted;
+use std::time::Duration;
 
 /// Room is made by who has said nothing, then by who stopped half-way, then by who only stays.
 #[tokio::test(start_paused = true)]
@@ -133,3 +134,37 @@
         }
     }
 }
+
+/// What a newcomer costs follows what changes, not how many connections there are.
+#[test]
+fn a_newcomer_costs_the_same_however_many_connections_there_are() {
+    const NEWCOMERS: usize = 500;
+    const ROUNDS: usize = 8;
+    let full = |limit| {
+        let connections = ClientConnections::new(limit, 0, Count::default());
+        (0..limit).map_while(|_| connections.place(ALONE)).for_each(|place| {
+            place.connection.keep();
+            std::mem::forget(place);
+        });
+        connections
+    };
+    let costs = |connections: &ClientConnections| {
+        let began = std::time::Instant::now();
+        for _ in 0..NEWCOMERS {
+            assert_eq!(connections.relief(ALONE), None);
+            let newcomer = connections.place(ALONE).expect("an idle one makes room");
+            newcomer.connection.keep();
+            std::mem::forget(newcomer);
+        }
+        began.elapsed()
+    };
+    let mut spent = [Duration::ZERO; 2];
+    for _ in 0..ROUNDS {
+        // Each round its own tables: those that made room stay in them here, since nobody closes them.
+        for (spent, limit) in spent.iter_mut().zip([1_000, 16_000]) {
+            *spent += costs(&full(limit));
+        }
+    }
+    let ratio = spent[1].as_secs_f64() / spent[0].as_secs_f64();
+    assert!(ratio < 4.0, "{ratio:.1} times the cost with 16 times the connections: {spent:?}");
+}
--- a/crates/vetchbridge/src/clients/mod.rs
+++ b/crates/vetchbridge/src/clients/mod.rs
@@ -9,6 +9,7 @@
 mod framing;
 pub mod front;
 mod job;
+mod spare;
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
