--- a/crates/vetchbridge/tests/crowds.rs
+++ b/crates/vetchbridge/tests/crowds.rs
@@ -128,20 +128,17 @@
     drop(crowd);
 }
 
-/// Where every connection is owed an answer, nobody makes room: a newcomer is closed at once and nothing of it is read, those
-/// that are owed an answer have it, and the next newcomer takes the place of one that has left.
-#[rstest]
-#[timeout(HANG)]
-#[tokio::test]
-async fn a_newcomer_for_whom_nobody_can_be_spared_goes_unheard() {
-    let mut stage = Stage::set(1).await;
+/// Hands in jobs to the one peer until a newcomer is turned away: the connections of all others, which are owed an answer, and
+/// their ids.
+async fn every_place_is_owed_an_answer(stage: &mut Stage) -> Vec<(Wire, String)> {
     let mut owed = Vec::new();
     loop {
         let (mut client, id) = stage.job("safe", "k").await;
         tokio::select! {
             closed = client.read() => {
                 assert_eq!(closed, None, "no word");
-                break;
+                assert!(owed.len() >= SOCKETS as usize / 4, "{} connections", owed.len());
+                return owed;
             }
             (_, mut peer) = stage.peer() => {
                 let job = peer.read().await.expect("the job");
@@ -152,7 +149,41 @@
             }
         }
     }
-    assert!(owed.len() >= SOCKETS as usize / 4, "{} connections", owed.len());
+}
+
+/// Where every connection is owed an answer, nobody makes room: a newcomer is closed at once and nothing of it is read, and
+/// those that are owed an answer are not disturbed.
+#[rstest]
+#[timeout(HANG)]
+#[tokio::test]
+async fn a_newcomer_for_whom_nobody_can_be_spared_goes_unheard() {
+    let mut stage = Stage::set(1).await;
+    let mut owed = every_place_is_owed_an_answer(&mut stage).await;
+    for (client, _) in &mut owed {
+        assert!(futures_util::poll!(std::pin::pin!(client.read())).is_pending(), "it waits on");
+    }
+}
+
+/// What all of them wait for comes on connections of its own: a callback is heard where no other newcomer is.
+#[rstest]
+#[timeout(HANG)]
+#[tokio::test]
+async fn a_callback_is_heard_although_every_place_is_owed_an_answer() {
+    let mut stage = Stage::set(1).await;
+    let owed = every_place_is_owed_an_answer(&mut stage).await;
+    let mut callbacks = Vec::new();
+    for (_, id) in &owed {
+        // A peer that keeps its connection must not keep the next callback out.
+        let mut callback = dial(stage.daemon.address).await;
+        let body = json!({"id": id, "from": "s-0", "state": "started"}).to_string();
+        callback.hand_in("/callback", "", &body).await;
+        assert_eq!(status(&callback.read().await), "200");
+        callbacks.push(callback);
+    }
+    for (mut client, id) in owed {
+        stage.call_back(&id, 0, "done").await;
+        assert_eq!(status(&client.read().await), "200");
+    }
 }
 
 /// However many requests come at once on one connection, those of others are answered; who sends them and goes has
--- a/crates/vetchbridge/tests/parts.rs
+++ b/crates/vetchbridge/tests/parts.rs
@@ -435,6 +435,58 @@
     }
 }
 
+/// Two calls that are lost in a row while discovery can be reached leave time for the third one's answer, in fleets whose
+/// discovery can bear a second call beside one that is out. The worst moment to come back is the one after a call.
+#[rstest]
+#[timeout(HANG)]
+#[tokio::test(start_paused = true)]
+async fn two_calls_lost_in_a_row_keep_no_news_from_being_in_time() {
+    for (schedulers, seed) in [(1, 1), (1, 7), (3, 1), (3, 7), (30, 1), (30, 7)] {
+        calls_follow_one_another(schedulers, seed).await;
+    }
+}
+
+async fn calls_follow_one_another(schedulers: u32, seed: u64) {
+    /// News counts as told after 6 s; a second and more is left for the answer.
+    const THIRD_CALL_WITHIN: Duration = Duration::from_millis(4_900);
+    let mut parts = Parts::seeded(schedulers, seed).await;
+    parts.follow(json!([]));
+    let _watch = parts.confirm().await;
+    let (mut open, mut calls) = (Vec::new(), Vec::new());
+    for _ in 0..20 {
+        open.push(parts.call().await.0);
+        calls.push(Instant::now());
+    }
+    for four in calls.windows(4) {
+        let apart = four[3].duration_since(four[0]);
+        assert!(
+            apart <= THIRD_CALL_WITHIN,
+            "{schedulers} schedulers: {apart:?} from a call to the third after it"
+        );
+    }
+}
+
+/// What the call beside a lost one brings is news, and the watch goes on from there.
+#[rstest]
+#[timeout(HANG)]
+#[tokio::test(start_paused = true)]
+async fn the_answer_to_a_call_beside_a_lost_one_is_heard() {
+    let mut parts = Parts::of(3).await;
+    parts.follow(json!([]));
+    let _watch = parts.confirm().await;
+    let _lost = parts.call().await;
+    let called = Instant::now();
+    let (mut beside, target) = parts.call().await;
+    assert!(called.elapsed() < Duration::from_millis(1_500), "{:?}", called.elapsed());
+    assert_eq!(target, "/registry/instances?index=1&wait=0");
+    let peer = instance("s-new", "127.0.0.1:9".parse().expect("an address"));
+    let list = json!({"generation": 2, "reset": false, "instances": [peer]}).to_string();
+    beside.answer(200, "", &list).await.expect("it is read");
+    let next = beside.read().await.expect("the watch goes on");
+    assert!(next.target().contains("index=2&wait="), "{}", next.target());
+    assert_eq!(parts.list(), [("s-new".to_string(), Lifecycle::Up)]);
+}
+
 /// A first call whose connection never comes up is one that was lost, too.
 #[rstest]
 #[timeout(HANG)]
