Make a second call to discovery only after a lost one, and only in small tiers

Change: a second call is made beside one that follows a call of which nothing at all came back, in tiers of 11 schedulers at most. A 503, a reset or a refusal is no loss.

--- a/crates/vetchbridge/src/list/discovery.rs
+++ b/crates/vetchbridge/src/list/discovery.rs
@@ -37,11 +37,11 @@
 /// How long an answer to a call that does not wait may take: longer than discovery itself lets a call wait for its turn,
 /// since a call that is given up sooner may cost it its work all the same.
 const ANSWER_WAIT: Duration = Duration::from_millis(2200);
-/// So long after a call that does not wait, a second one is made beside it: the first may have been lost.
+/// So long after a call that follows a lost one, a second one is made beside it: it may have been lost as well.
 const BESIDE_AFTER: Duration = Duration::from_millis(1100);
-/// What discovery is taken to need for one scheduler's calls. A second call is made only where it could serve all schedulers
-/// within [`BESIDE_AFTER`]: else calls wait for their turn, and further ones would make that longer.
-const SHARE_OF_DISCOVERY: Duration = Duration::from_millis(30);
+/// A second call is made only in a tier of no more schedulers than this: discovery serves one call after another, and where
+/// it is short of time, second calls of many keep all of them waiting.
+const BESIDE_UP_TO: u32 = 11;
 /// How long a connection to discovery may take to come up.
 const DIAL_WAIT: Duration = Duration::from_secs(2);
 /// How long the rest of an answer may take once its head is here: what is written counts as told.
@@ -64,6 +64,8 @@
 /// A call that failed, and what could be heard of its answer.
 struct Failure {
     reason: String,
+    /// Nothing at all came back. Discovery that has too many callers says so.
+    lost: bool,
     /// The version that it named.
     generation: Option<u64>,
     /// The entries that came whole: what was written is told.
@@ -93,7 +95,12 @@
             rest = &rest[next + 1 + entries.byte_offset()..];
             instances.push(instance);
         }
-        Failure { reason, generation, instances }
+        Failure { reason, lost: false, generation, instances }
+    }
+
+    /// Nothing came back.
+    fn lost(reason: &str) -> Failure {
+        Failure { lost: true, ..Failure::new(reason.to_string(), &[]) }
     }
 }
 
@@ -119,6 +126,8 @@
     version: Option<u64>,
     /// The last call failed.
     failed: bool,
+    /// Nothing came back of it.
+    lost: bool,
     /// Whether the list is known to be no older than this process: any call was answered, or it was inherited.
     confirmed: watch::Sender<bool>,
     /// Watches opened so far.
@@ -148,6 +157,7 @@
             roster,
             version: None,
             failed: false,
+            lost: false,
             confirmed: watch::Sender::new(false),
             watches: 0,
         };
@@ -284,14 +294,18 @@
             }
         };
         let (client, uri) = (self.client.clone(), format!("http://{address}{path}"));
+        let dial_over = Instant::now() + DIAL_WAIT;
         let answer = Box::pin(async move {
             let request =
                 Request::get(uri).body(Empty::new()).map_err(|e| Failure::new(e.to_string(), &[]))?;
             let response = match tokio::time::timeout(wait, client.request(request)).await {
                 Ok(Ok(response)) if response.status() == StatusCode::OK => response,
                 Ok(Ok(response)) => return Err(Failure::new(response.status().to_string(), &[])),
+                Ok(Err(error)) if error.is_connect() && Instant::now() >= dial_over => {
+                    return Err(Failure::lost("no connection"));
+                }
                 Ok(Err(error)) => return Err(Failure::new(error.to_string(), &[])),
-                Err(_) => return Err(Failure::new("no answer".to_string(), &[])),
+                Err(_) => return Err(Failure::lost("no answer")),
             };
             let mut body = Limited::new(response.into_body(), BODY_LIMIT);
             let mut text = Vec::new();
@@ -306,15 +320,15 @@
             }
             serde_json::from_slice(&text).map_err(|e| Failure::new(format!("unreadable list: {e}"), &text))
         });
-        let all = SHARE_OF_DISCOVERY * self.current.get().settings.dispatchers;
-        let at_once = wait == ANSWER_WAIT;
-        let beside_from = (at_once && all <= BESIDE_AFTER).then(|| Instant::now() + BESIDE_AFTER);
+        let few = self.current.get().settings.dispatchers <= BESIDE_UP_TO;
+        let beside_from = (self.lost && few).then(|| Instant::now() + BESIDE_AFTER);
         Call { version: self.version, beside_from, answer }
     }
 
     /// Takes the answer to a call made with this version in hand; says whether it was one.
     fn news(&mut self, (asked, answer): (Option<u64>, Result<Listing, Failure>)) -> bool {
         self.failed = answer.is_err();
+        self.lost = answer.as_ref().is_err_and(|failure| failure.lost);
         let older = |generation: u64| self.version.is_some_and(|version| generation < version);
         match answer {
             // Another call has brought a newer list meanwhile. A whole list whose version has gone back is believed
@@ -324,7 +338,7 @@
             }
             Ok(listing) if listing.reset => self.tell(ListKind::Full, listing),
             Ok(listing) => self.tell(ListKind::Changes, listing),
-            Err(Failure { reason, generation, mut instances }) => {
+            Err(Failure { reason, generation, mut instances, .. }) => {
                 // To heed who leaves can do no harm, whatever the version; who is up must not be older news.
                 let newer = generation.is_some_and(|generation| !older(generation));
                 instances.retain(|instance| newer || instance.state() != MemberState::Ready);
