--- a/crates/silverproxy/tests/rules.rs
+++ b/crates/silverproxy/tests/rules.rs
@@ -292,3 +292,28 @@
         assert_eq!(there == *home, *home != full, "key-{n}");
     }
 }
+
+/// A refusal promises that trying again is harmless. For a keyed job that may have run that holds while its repeat is dropped,
+/// and its client takes a moment to come back.
+#[test]
+fn a_keyed_job_that_may_have_run_is_refused_only_while_its_repeat_would_be_dropped() {
+    for (name, age, harmless) in
+        [("within its window", S, true), ("as it ends", 2 * S - 300 * MS, false), ("after it", 3 * S, false)]
+    {
+        let mut d = Driver::with_fleet(settings(), 6);
+        let Effect::Keyed { window, .. } = settings().classes[KEYED_ALL as usize].effect else {
+            panic!("keyed")
+        };
+        assert_eq!(window, 2 * S);
+        sent(&d.request(1, KEYED_ALL, "k"));
+        d.now += age;
+        let ending = d.event(Event::Ending);
+        assert_eq!((refused(&ending), failed(&ending)), (harmless, !harmless), "{name}: {ending:?}");
+        // One that surely never ran may be tried again at any time.
+        let mut d = Driver::with_fleet(settings(), 6);
+        let worker = sent(&d.request(1, KEYED_ALL, "k"));
+        d.now += age;
+        d.event(outcome(1, 0, worker, Status::Full));
+        assert!(refused(&d.event(Event::Ending)), "{name}: it never ran");
+    }
+}
