Refuse a keyed job that may have run only while its repeat would be dropped; send what crosses a close again

Cause: (1) `give_up` in policy.rs took every keyed job of group `all` for harmless to repeat, however long ago its first attempt was sent. Clients send such a request once more on a new connection; the stand-in client relied on its library, which does so only before the first byte.

(2) The stand-in client sends once more, and after a failure repeats a key only while it is remembered. The account counts a try as lost if it had begun to run before that; what had begun when a killed scheduler died is not held against the second sending.

--- a/crates/platform/src/account.rs
+++ b/crates/platform/src/account.rs
@@ -99,6 +99,16 @@
     let mut sent: HashMap<u64, &JobRecord> = HashMap::new();
     let excused = |one: &Try| outages.iter().any(|o| one.sent < o.until && one.ended >= o.from);
     let ran: HashSet<u64> = runs.iter().map(|run| run.id).collect();
+    // What ran before it was sent once more had been taken, and its connection was closed all the same.
+    let mut first_run: HashMap<u64, Duration> = HashMap::new();
+    for run in runs {
+        let first = first_run.entry(run.id).or_insert(run.started);
+        *first = run.started.min(*first);
+    }
+    let taken_and_lost = |one: &Try| {
+        let (resent, ran) = (one.resent, first_run.get(&one.id));
+        resent.zip(ran).is_some_and(|(resent, ran)| *ran < resent) && !excused(one)
+    };
     let (mut asked, mut earned) = (0.0, 0.0);
     for job in jobs {
         let class = &classes[job.arrival.class];
@@ -109,6 +119,9 @@
         }
         for one in &job.tries {
             sent.insert(one.id, job);
+            if taken_and_lost(one) {
+                violations.push(Violation::Lost(one.id));
+            }
             match &one.outcome {
                 Outcome::Served(made) => {
                     verdict.answers.served += 1;
@@ -138,6 +151,14 @@
             }
         }
     }
+    // A client whose connection ended with its scheduler can't tell that from the close of a resting one: what had begun by
+    // then is not held against what came of sending it once more.
+    let resent_in_outage: HashMap<u64, Duration> = jobs
+        .iter()
+        .flat_map(|job| &job.tries)
+        .filter(|one| excused(one))
+        .filter_map(|one| Some((one.id, one.resent?)))
+        .collect();
     let mut by_key: BTreeMap<&str, Vec<&Run>> = BTreeMap::new();
     let (mut begun, mut objects) = (HashSet::new(), BTreeMap::<&str, BTreeMap<&str, u64>>::new());
     for run in runs {
@@ -146,6 +167,9 @@
             continue;
         };
         *objects.entry(&run.object).or_default().entry(&run.peer).or_default() += 1;
+        if resent_in_outage.get(&run.id).is_some_and(|resent| run.started < *resent) {
+            continue;
+        }
         // Of a job, not of a try: its client may come back only where it was told that nothing ran.
         let again = !begun.insert(job.arrival.job);
         match classes[job.arrival.class].repeat {
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -46,6 +46,8 @@
     pub id: u64,
     /// When it was sent, from the start.
     pub sent: Duration,
+    /// When it was sent once more, on a new connection, since its first one had ended without an answer.
+    pub resent: Option<Duration>,
     /// When it ended, from the start.
     pub ended: Duration,
     /// What was heard.
@@ -105,6 +107,8 @@
     spec: Arc<LoadSpec>,
     targets: Arc<Vec<SocketAddr>>,
     http: Client<HttpConnector, Full<Bytes>>,
+    /// Keeps no connection.
+    fresh: Client<HttpConnector, Full<Bytes>>,
     turn: Arc<AtomicUsize>,
 }
 
@@ -118,12 +122,13 @@
         let mut tcp = HttpConnector::new();
         tcp.set_nodelay(true);
         tcp.set_connect_timeout(Some(Duration::from_secs(2)));
-        // A request that crosses the close of its connection, unread, is sent once more, as the protocol has it.
         let http = Client::builder(TokioExecutor::new())
             .pool_idle_timeout(Duration::from_secs(10))
             .pool_timer(TokioTimer::new())
-            .build(tcp);
-        Ok(Clients { spec: Arc::new(spec), targets: Arc::new(targets), http, turn: Arc::default() })
+            .build(tcp.clone());
+        let fresh = Client::builder(TokioExecutor::new()).pool_max_idle_per_host(0).build(tcp);
+        let turn = Arc::default();
+        Ok(Clients { spec: Arc::new(spec), targets: Arc::new(targets), http, fresh, turn })
     }
 
     /// Sends jobs for so long, from `began` on, or until told to stop; then waits for what is out.
@@ -189,8 +194,8 @@
         began: Instant,
         arrival: Arrival,
     ) -> impl std::future::Future<Output = JobRecord> + Send + 'static {
-        let (spec, targets, http, turn) =
-            (self.spec.clone(), self.targets.clone(), self.http.clone(), self.turn.clone());
+        let (spec, targets, turn) = (self.spec.clone(), self.targets.clone(), self.turn.clone());
+        let (http, fresh) = (self.http.clone(), self.fresh.clone());
         async move {
             let class = &spec.classes[arrival.class];
             let key = matches!(class.repeat, Repeat::Keyed(_))
@@ -206,12 +211,26 @@
                 let to = targets[turn.fetch_add(1, Ordering::Relaxed) % targets.len()];
                 let request = request(to, &spec, &record, id, number, left);
                 let sent = began.elapsed();
-                let (outcome, advice) = match timeout(left + SLACK, exchange(&http, request)).await {
+                let mut resent = None;
+                let heard = async {
+                    let again = request.clone();
+                    match exchange(&http, request).await {
+                        // It may have crossed the close of its connection, unread: it is sent once more, on a new one.
+                        (Outcome::Broken(_), _) => {
+                            resent = Some(began.elapsed());
+                            exchange(&fresh, again).await
+                        }
+                        heard => heard,
+                    }
+                };
+                let (outcome, advice) = match timeout(left + SLACK, heard).await {
                     Ok(heard) => heard,
                     Err(_) => (Outcome::Unanswered, None),
                 };
-                let over = !comes_back(class.repeat, &outcome);
-                record.tries.push(Try { id, sent, ended: began.elapsed(), outcome });
+                let first = record.tries.first().map_or(sent, |first| first.sent);
+                let returns = began.elapsed().saturating_sub(first) + spec.pause;
+                let over = !comes_back(class.repeat, &outcome, returns);
+                record.tries.push(Try { id, sent, resent, ended: began.elapsed(), outcome });
                 if over || number == spec.retries {
                     break;
                 }
@@ -228,12 +247,17 @@
 }
 
 /// Whether a client asks again: after its own time never, and where a second run would do harm only after an answer
-/// that says that there was none, or without a connection.
-fn comes_back(repeat: Repeat, heard: &Outcome) -> bool {
+/// that says that there was none, or without a connection. A failure says nothing, so that a key is sent again only while
+/// it is remembered; `returns` is the time from the first try to the next.
+fn comes_back(repeat: Repeat, heard: &Outcome, returns: Duration) -> bool {
     match heard {
         Outcome::Served(_) | Outcome::Unanswered => false,
         Outcome::Refused | Outcome::Unreachable(_) => true,
-        Outcome::Failed(_) | Outcome::Broken(_) => repeat != Repeat::Unsafe,
+        Outcome::Failed(_) | Outcome::Broken(_) => match repeat {
+            Repeat::Safe => true,
+            Repeat::Keyed(window) => returns < window,
+            Repeat::Unsafe => false,
+        },
     }
 }
 
--- a/crates/platform/src/client/tests.rs
+++ b/crates/platform/src/client/tests.rs
@@ -13,8 +13,11 @@
         Outcome::Failed(500),
         Outcome::Broken(text()),
     ];
-    let again = |repeat| heard.iter().map(|heard| comes_back(repeat, heard)).collect::<Vec<_>>();
+    let second = Duration::from_secs(1);
+    let again = |repeat| heard.iter().map(|heard| comes_back(repeat, heard, second)).collect::<Vec<_>>();
     assert_eq!(again(Repeat::Safe), [false, false, true, true, true, true]);
+    assert_eq!(again(Repeat::Keyed(2 * second)), [false, false, true, true, true, true]);
+    assert_eq!(again(Repeat::Keyed(second)), [false, false, true, true, false, false]);
     assert_eq!(again(Repeat::Unsafe), [false, false, true, true, false, false]);
     let heeding = (0..1_000u64).filter(|n| heeds(try_id(n << 54, 1), 0.25)).count();
     assert!((200..300).contains(&heeding), "{heeding}");
--- a/crates/silverproxy/src/lib.rs
+++ b/crates/silverproxy/src/lib.rs
@@ -63,6 +63,7 @@
 mod hash;
 pub mod interface;
 pub mod policy;
+mod repeats;
 mod warm_up;
 pub mod words;
 
--- a/crates/silverproxy/src/policy.rs
+++ b/crates/silverproxy/src/policy.rs
@@ -7,6 +7,7 @@
 
 use crate::hash::{hash_key, mix};
 use crate::interface::*;
+use crate::repeats::Repeats;
 use crate::warm_up::{self, StartBounds};
 use crate::words::Word;
 use std::collections::BTreeMap;
@@ -131,6 +132,11 @@
         self.class.late_share < WORTHLESS && (self.work > 0 || self.class.stretch == 0.0)
     }
 
+    fn repeats(&self) -> Repeats {
+        let first = self.attempts.iter().find(|attempt| attempt.may_have_run != Some(false));
+        Repeats { effect: self.class.effect, first: first.map(|attempt| attempt.sent) }
+    }
+
     /// Its work as hinted; without a hint, its class is made for jobs of about its aim.
     fn likely_work(&self) -> Micros {
         Some(self.work).filter(|work| *work > 0).unwrap_or(self.class.aim)
@@ -808,12 +814,7 @@
         if open.attempts.len() >= open.most as usize {
             return false;
         }
-        let Some(first) = open.attempts.iter().find(|a| a.may_have_run != Some(false)) else { return true };
-        match open.class.effect {
-            Effect::Safe => true,
-            Effect::Keyed { window, .. } => now + self.settings.tick < first.sent + window,
-            Effect::Unsafe => false,
-        }
+        open.repeats().may_begin_by(now + self.settings.tick)
     }
 
     /// When a refused client should come back: once the first worker of its class is thought to have room,
@@ -831,10 +832,9 @@
     /// Gives the final answer: a refusal where the rules let us promise that trying again is harmless.
     fn give_up(&mut self, now: Micros, id: RequestId, actions: &mut Vec<Action>) {
         let Some(open) = self.open.get(&id) else { return };
-        let harmless = open.attempts.iter().all(|a| a.may_have_run == Some(false))
-            || matches!(open.class.effect, Effect::Safe | Effect::Keyed { group: RepeatGroup::All, .. });
-        actions.push(if harmless {
-            Action::Refuse { request: id, retry_after: self.advice(now, open.class.kind) }
+        let retry_after = self.advice(now, open.class.kind);
+        actions.push(if open.repeats().may_be_refused(now, retry_after) {
+            Action::Refuse { request: id, retry_after }
         } else {
             Action::Fail { request: id }
         });
--- a/crates/vetchkit/src/runner.rs
+++ b/crates/vetchkit/src/runner.rs
@@ -239,6 +239,7 @@
         job.arrival.at += offset;
         for one in &mut job.tries {
             (one.sent, one.ended) = (one.sent + offset, one.ended + offset);
+            one.resent = one.resent.map(|resent| resent + offset);
         }
     }
 }
--- a/crates/vetchkit/src/soak/checks/tests.rs
+++ b/crates/vetchkit/src/soak/checks/tests.rs
@@ -44,7 +44,8 @@
         hint: None,
         salt: 0,
     };
-    let one = Try { id, sent: seconds(at), ended: seconds(at + 1.0), outcome: Outcome::Refused };
+    let one =
+        Try { id, sent: seconds(at), resent: None, ended: seconds(at + 1.0), outcome: Outcome::Refused };
     JobRecord { arrival, key: None, tries: vec![one] }
 }
 
