Have a request that is sent once more tell the time that its client has left then

The log: n1 took the job at 54.54 and was killed, the stand-in client sent the same bytes again to n13 at 55.17, with the time left of the first sending.

Change: the second sending is made anew with the time that is left.

--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -209,16 +209,15 @@
                 }
                 let id = try_id(record.arrival.salt, number);
                 let to = targets[turn.fetch_add(1, Ordering::Relaxed) % targets.len()];
-                let request = request(to, &spec, &record, id, number, left);
+                let request = |left| request(to, &spec, &record, id, number, left);
                 let sent = began.elapsed();
                 let mut resent = None;
                 let heard = async {
-                    let again = request.clone();
-                    match exchange(&http, request).await {
+                    match exchange(&http, request(left)).await {
                         // It may have crossed the close of its connection, unread: it is sent once more, on a new one.
                         (Outcome::Broken(_), _) => {
                             resent = Some(began.elapsed());
-                            exchange(&fresh, again).await
+                            exchange(&fresh, request(give_up.saturating_duration_since(Instant::now()))).await
                         }
                         heard => heard,
                     }
