--- a/crates/vetchbridge/src/list/discovery.rs
+++ b/crates/vetchbridge/src/list/discovery.rs
@@ -234,8 +234,11 @@
                             self.news((version, Ok(listing)));
                             watch = Some(self.watch());
                         }
-                        // The call that it stood beside tells of itself, or has.
-                        (_, Err(Failure { reason, .. })) => debug!(reason, "discovery.failed.beside"),
+                        // The call that it stood beside tells of itself, or has. What came whole counts as told.
+                        (_, Err(failure)) if failure.instances.is_empty() => {
+                            debug!(reason = failure.reason, "discovery.failed.beside");
+                        }
+                        (version, Err(failure)) => drop(self.news((version, Err(failure)))),
                     }
                 }
                 answer = under_way(&mut fetch) => {
--- a/crates/vetchbridge/tests/parts.rs
+++ b/crates/vetchbridge/tests/parts.rs
@@ -513,6 +513,26 @@
     assert_eq!(parts.list(), [("s-new".to_string(), Lifecycle::Up)]);
 }
 
+/// An answer beside a lost call that breaks off has told its whole entries, as any other.
+#[rstest]
+#[timeout(HANG)]
+#[tokio::test(start_paused = true)]
+async fn a_list_that_breaks_off_beside_a_lost_call_has_told_its_whole_entries() {
+    let mut parts = Parts::of(3).await;
+    let address = "127.0.0.1:9".parse().expect("an address");
+    parts.follow(json!([instance("s-a", address), instance("s-b", address)]));
+    let _silent = parts.confirm().await;
+    let _lost = parts.call().await;
+    let (beside, _) = parts.call().await;
+    let mut leaves = instance("s-a", address);
+    leaves["lifecycle"] = "draining".into();
+    let list =
+        json!({"generation": 2, "reset": false, "instances": [leaves, instance("s-b", address)]}).to_string();
+    break_off(beside, &list, "s-b").await;
+    at_rest().await;
+    assert!(parts.list().contains(&("s-a".to_string(), Lifecycle::Draining)), "{:?}", parts.list());
+}
+
 /// A first call whose connection never comes up is one that was lost, too.
 #[rstest]
 #[timeout(HANG)]
