Log what each refusal and failure can be told from

Need: the users ask for the reasons of every refusal. The log had its status alone.

Change: `request.unserved` (debug) tells the attempts, those that may have run and the time that was left when the module refused or failed a request; `request.refused` and `request.malformed` tell why a request was turned away before the module heard of it.

No decision changes.

--- a/crates/vetchbridge/src/clients/body.rs
+++ b/crates/vetchbridge/src/clients/body.rs
@@ -10,6 +10,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tracing::debug;
 
 /// The longest body of a request or callback.
 const BODY_LIMIT: usize = 64 * 1024;
@@ -31,7 +32,10 @@
     connection: &ClientConnection,
     room: &Arc<Semaphore>,
 ) -> Result<(Bytes, OwnedSemaphorePermit), Refused> {
-    let refused = |status, reason| Err((status, [(CONNECTION, "close")], reason));
+    let refused = |status, reason: &'static str| {
+        debug!(reason = reason.trim_end(), "request.refused");
+        Err((status, [(CONNECTION, "close")], reason))
+    };
     let expected = body.size_hint();
     if expected.lower() > BODY_LIMIT as u64 {
         return refused(StatusCode::PAYLOAD_TOO_LARGE, "a body holds no more than 64 KiB\n");
--- a/crates/vetchbridge/src/clients/front.rs
+++ b/crates/vetchbridge/src/clients/front.rs
@@ -354,11 +354,15 @@
         Err(refused) => return refused.into_response(),
     };
     if !front.life.state().takes() {
+        debug!(reason = "ending", "request.refused");
         return (StatusCode::SERVICE_UNAVAILABLE, "ending\n").into_response();
     }
     let job = match job::read(&parts, body, room, front.current.get(), front.engine.clock.now()) {
         Ok(job) => job,
-        Err(reason) => return (StatusCode::BAD_REQUEST, format!("{reason}\n")).into_response(),
+        Err(reason) => {
+            debug!(reason, "request.malformed");
+            return (StatusCode::BAD_REQUEST, format!("{reason}\n")).into_response();
+        }
     };
     // Dropped by hyper when the client closes its connection, and the receiver with it.
     let answer = submit(front.engine.clone(), front.upstream.clone(), front.kin.clone(), job).await;
--- a/crates/vetchbridge/src/request.rs
+++ b/crates/vetchbridge/src/request.rs
@@ -119,6 +119,13 @@
         }
     }
 
+    /// What a refusal or failure by the module can be told from: the attempts, and the time that was left.
+    fn log_unserved(&self, may_have_run: &[Option<Micros>], due: Micros) {
+        let ran = may_have_run.iter().flatten().count();
+        let left = due.saturating_sub(self.engine.clock.now());
+        debug!(request = %Id(self.id), attempts = may_have_run.len(), may_have_run = ran, left_us = left, "request.unserved");
+    }
+
     /// Resolves when the client leaves an unanswered request.
     async fn client_left(reply: &mut Option<oneshot::Sender<Answer>>) {
         match reply {
@@ -201,8 +208,14 @@
                         let _ = cancel.send(());
                     }
                 }
-                Some(Step::Reject { retry_after }) => context.answer(Answer::Reject { retry_after }),
-                Some(Step::Fail) => context.answer(Answer::Failed),
+                Some(Step::Reject { retry_after }) => {
+                    context.log_unserved(&may_have_run, due);
+                    context.answer(Answer::Reject { retry_after });
+                }
+                Some(Step::Fail) => {
+                    context.log_unserved(&may_have_run, due);
+                    context.answer(Answer::Failed);
+                }
                 // The engine never drops a sender before `close`.
                 None => return,
             },
