Show a keyed job run twice after a new file that lacks a key is applied

Cause looked for: what the check of a new configuration lets pass. A key of a class is required only if every class in force has it, and a missing `group` of a keyed class is read as `all`.

No file of the program changes.

--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -168,11 +168,15 @@
     """
 
     def __init__(self, record, name, scheduler, zone="a", kind="m", cell=0, weight=1.0, slots=4,
-                 run_time=0.5, started_at_ms=0, tells_start=False, progress=None):
+                 run_time=0.5, started_at_ms=0, tells_start=False, progress=None, start_delay=0.0,
+                 repeats=None):
         self.record, self.name, self.scheduler = record, name, scheduler
         self.zone, self.kind, self.cell, self.weight = zone, kind, cell, weight
         self.run_time, self.started_at_ms = run_time, started_at_ms
         self.tells_start, self.progress = tells_start, progress
+        self.start_delay = start_delay
+        # The keys that this worker shares with the workers of its group, with the result of the job of each.
+        self.repeats = {} if repeats is None else repeats
         self.free = asyncio.Semaphore(slots)
         self.jobs, self.arrivals, self.runs = {}, 0, []
         self.returns_by_callback = True
@@ -213,6 +217,14 @@
             self.jobs.pop(job.id, None)
             self.record(self.name, f"attempt {job.id} #{job.number} handed back unstarted")
             return await self.call(job, "returned")
+        key = job.message.headers.get("idempotency-key")
+        if key in self.repeats:
+            self.record(self.name, f"attempt {job.id} #{job.number} key {key} dropped as a repeat")
+            return await self.call(job, "done", result=await asyncio.shield(self.repeats[key]))
+        result = f"result of {job.id} by {self.name}"
+        if key is not None:
+            self.repeats[key] = asyncio.get_running_loop().create_future()
+        await asyncio.sleep(self.start_delay)
         async with self.free:
             self.record(self.name, f"RUN {job.id} #{job.number} starts")
             self.runs.append(job.id)
@@ -226,7 +238,9 @@
                     asyncio.create_task(self.call(job, "running", share=share))
         self.record(self.name, f"RUN {job.id} #{job.number} ends")
         self.jobs.pop(job.id, None)
-        await self.call(job, "done", result=f"result of {job.id} by {self.name}")
+        if key is not None:
+            self.repeats[key].set_result(result)
+        await self.call(job, "done", result=result)
 
     async def call(self, job, state, **more):
         """Sends a callback, and repeats it until it is answered, ten times at most."""
@@ -284,6 +298,49 @@
             await writer.drain()
 
 
+class AnswerProxy:
+    """A proxy between a scheduler and a worker. `on_answer(message, answer)` says what becomes of the worker's
+    answer to a request: "pass", "reset" (both connections are reset in its place) or a delay in seconds."""
+
+    def __init__(self, record, worker, on_answer):
+        self.record, self.worker, self.on_answer = record, worker, on_answer
+
+    async def start(self):
+        self.server, self.address = await serve(self.handle)
+
+    async def handle(self, reader, writer):
+        up_reader, up_writer = await asyncio.open_connection(*split(self.worker.direct_address))
+        try:
+            while message := await read_message(reader):
+                lines = [message.start] + [f"{name}: {value}" for name, value in message.headers.items()]
+                up_writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + message.body)
+                answer = await read_message(up_reader)
+                if answer is None:
+                    return
+                fate = self.on_answer(message, answer)
+                id = message.headers.get("x-trace-id", "-")
+                if fate == "reset":
+                    self.record("network", f"connection to {self.worker.name} reset before the {answer.status} to {id}")
+                    up_writer.transport.abort()
+                    writer.transport.abort()
+                    return
+                if fate != "pass":
+                    self.record("network", f"the {answer.status} of {self.worker.name} to {id} is {fate} s late")
+                    await asyncio.sleep(fate)
+                writer.write(response(answer.status, answer.body))
+                await writer.drain()
+        finally:
+            up_writer.close()
+
+
+async def behind_proxy(record, worker, on_answer):
+    """Puts a started worker behind a proxy: schedulers reach the worker at the proxy's address."""
+    worker.direct_address = worker.address
+    proxy = AnswerProxy(record, worker, on_answer)
+    await proxy.start()
+    worker.address = proxy.address
+
+
 def request(target, headers, body=b"work"):
     lines = [f"POST {target} HTTP/1.1", "Host: app.svc"]
     lines += [f"{name}: {value}" for name, value in headers.items()]
