Show attempts at a draining worker while discovery answers slowly

Cause looked for: a change of the list that never reaches the scheduler. An answer of discovery whose body takes more than 250 ms is given up at every call, so that neither a change nor a list is ever read whole.

No file of the program changes.

--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -114,6 +114,8 @@
     def __init__(self, record):
         self.record, self.generation, self.entries = record, 1, {}
         self.changed_at, self.changed = {}, asyncio.Condition()
+        # The time over which the body of an answer is written, in pieces, and when each change was written.
+        self.write_time, self.told_at = 0.0, {}
 
     async def start(self):
         self.server, self.address = await serve(self.handle)
@@ -147,8 +149,23 @@
                         await asyncio.wait_for(self.changed.wait_for(lambda: self.generation > since), wait)
                     except asyncio.TimeoutError:
                         pass
-            writer.write(response(200, json.dumps(self.document(since)).encode()))
-            await writer.drain()
+            document, asked = self.document(since), self.record.now()
+            answer = response(200, json.dumps(document, indent=1).encode())
+            start = answer.index(b"\r\n\r\n") + 4
+            writer.write(answer[:start])
+            pieces = 20 if self.write_time else 1
+            for n in range(pieces):
+                writer.write(answer[start + (len(answer) - start) * n // pieces:
+                                    start + (len(answer) - start) * (n + 1) // pieces])
+                await writer.drain()
+                if n + 1 < pieces:
+                    await asyncio.sleep(self.write_time / (pieces - 1))
+            if document["instances"]:
+                names = " ".join(f"{entry['instanceId']}={entry['lifecycle']}" for entry in document["instances"])
+                self.record("discovery", f"answer written in {self.record.now() - asked:.3f} s: "
+                                         f"generation {document['generation']} {names}")
+            for entry in document["instances"]:
+                self.told_at.setdefault((entry["instanceId"], entry["lifecycle"]), self.record.now())
 
 
 class Job:
@@ -178,7 +195,7 @@
         # The keys that this worker shares with the workers of its group, with the result of the job of each.
         self.repeats = {} if repeats is None else repeats
         self.free = asyncio.Semaphore(slots)
-        self.jobs, self.arrivals, self.runs = {}, 0, []
+        self.jobs, self.arrivals, self.attempts, self.runs = {}, 0, [], []
         self.returns_by_callback = True
         self.may_take = lambda job: True
 
@@ -203,6 +220,7 @@
                 job = Job(message, self.arrivals)
                 key = message.headers.get("idempotency-key", "-")
                 self.record(self.name, f"attempt {job.id} #{job.number} {message.target} key {key} arrives")
+                self.attempts.append((self.record.now(), job.id))
                 if not self.may_take(job) and not self.returns_by_callback:
                     self.record(self.name, f"attempt {job.id} #{job.number} turned away with 503")
                     writer.write(response(503, b"", "X-Never-Ran: 1\r\n"))
