Log each callback that reaches an attempt in flight

An attempt that ends as Rejected may have ended by a response with X-Never-Ran or by a callback, and nothing showed whether the worker had accepted the attempt before.

Change: the debug event callback.received, with the job's state and whether the attempt was accepted.

--- a/crates/vetchbridge/src/workers/attempt.rs
+++ b/crates/vetchbridge/src/workers/attempt.rs
@@ -225,6 +225,13 @@
 
     fn on_callback(&mut self, callback: Callback, on_progress: impl Fn(JobProgress)) -> Option<AttemptEnd> {
         let state = callback.state;
+        debug!(
+            request = self.payload.id,
+            worker = self.worker.name,
+            ?state,
+            accepted = self.phase == Phase::Accepted,
+            "callback.received"
+        );
         // A job's result is valid for the request even if an earlier attempt of the request produced it.
         if state != CallbackState::Done && self.is_from_earlier_attempt(state) {
             debug!(
