Send a job no second time to a worker that returned it

A worker returned the job by a callback, the answer to that call was lost, the worker got the job again and ran it, and its repeated call sent the job to a second worker.

Cause: a callback names the request, the worker and the state, but no attempt. With two attempts of a request at one worker, one message fits both, and the scheduler took it for proof that the later one never ran. The guard (is_from_earlier_attempt) ended with the 202 and after 2 s.

Change: Outcome::Returned beside Rejected. A worker whose attempt ended so gets no further attempt of the request, in every class; if every ready worker of the class has had the job and one returned it, the request gets its final answer at once. Works because the two messages that can't be told apart no longer both exist; no clock is involved. The assertion in a_retried_callback_does_not_end_a_later_attempt names the one outcome of each state where it allowed three.

--- a/crates/scheduling/src/candidates.rs
+++ b/crates/scheduling/src/candidates.rs
@@ -69,12 +69,14 @@
             && self.request.class.machine_type.is_none_or(|kind| kind == worker.endpoint.machine_type)
     }
 
-    /// Whether the worker is not ejected, and an attempt at the worker can't make the job take effect a
-    /// second time.
+    /// Whether the worker is not ejected, and may get an attempt of the request.
     fn is_eligible(&self, worker: &Worker) -> bool {
-        self.drops_repeat_at(worker)
-            && !self.may_have_run_at(worker)
-            && !(self.enforce_ejections && worker.outlier.is_ejected(self.now))
+        self.may_get_attempt(worker) && !(self.enforce_ejections && worker.outlier.is_ejected(self.now))
+    }
+
+    /// Whether an attempt at the worker can't make the job take effect a second time.
+    fn may_get_attempt(&self, worker: &Worker) -> bool {
+        self.drops_repeat_at(worker) && !self.request.excludes_worker(worker.endpoint.worker)
     }
 
     /// Whether the worker would drop the request's job as a repeat of an earlier attempt that may have run
@@ -89,11 +91,6 @@
         drops_repeat(scope, first, &worker.endpoint)
     }
 
-    fn may_have_run_at(&self, worker: &Worker) -> bool {
-        let mut attempts = self.request.attempts.iter();
-        attempts.any(|attempt| attempt.worker == worker.endpoint.worker && attempt.may_have_run())
-    }
-
     /// Rotates the order of the candidates over which a hot key is spread, so that schedulers try different
     /// workers first. The key and the scheduler's index determine the first candidate, which is a worker in
     /// the scheduler's zone if possible.
@@ -114,11 +111,25 @@
     /// Returns the indices of the workers that may take this request, in the order in which the scheduler
     /// tries them.
     pub(crate) fn candidates(&self, now: Micros, id: RequestId) -> Vec<usize> {
-        let Some(request) = self.requests.get(id) else { return Vec::new() };
+        self.requests.get(id).map_or_else(Vec::new, |request| self.candidate_search(now, request).run())
+    }
+
+    fn candidate_search<'a>(&'a self, now: Micros, request: &'a PendingRequest) -> CandidateSearch<'a> {
         let (settings, fleet) = (&self.settings, &self.fleet);
         let ejected = fleet.ready().filter(|worker| worker.outlier.is_ejected(now)).count();
         let enforce_ejections = ejections_apply(ejected, fleet.ready_count());
-        CandidateSearch { now, settings, fleet, request, enforce_ejections }.run()
+        CandidateSearch { now, settings, fleet, request, enforce_ejections }
+    }
+
+    /// Whether workers have returned the request's job, and no ready worker of its class is left that may get
+    /// a further attempt. Such a request gains nothing by waiting.
+    pub(crate) fn is_returned_by_all_workers(&self, now: Micros, request: &PendingRequest) -> bool {
+        if !request.was_returned() {
+            return false;
+        }
+        let search = self.candidate_search(now, request);
+        let mut workers = self.fleet.ready().filter(|worker| search.serves_class(worker)).peekable();
+        workers.peek().is_some() && !workers.any(|worker| search.may_get_attempt(worker))
     }
 }
 
--- a/crates/scheduling/src/candidates/tests.rs
+++ b/crates/scheduling/src/candidates/tests.rs
@@ -37,7 +37,7 @@
 }
 
 #[test]
-fn a_worker_that_is_ejected_or_may_have_run_the_job_is_no_candidate() {
+fn a_worker_that_is_ejected_or_returned_the_job_or_may_have_run_it_is_no_candidate() {
     let mut fleet = fleet_of((1..=12).map(endpoint));
     let mut request = request(Idempotency::Idempotent);
     let all_candidates = search(&settings(), &fleet, &request);
@@ -46,6 +46,8 @@
     let index = fleet.index_of(all_candidates[1]).expect("the worker is listed");
     fleet[index].outlier.extend_ejection(NOW, 1);
     assert_eq!(search(&settings(), &fleet, &request)[..2], all_candidates[2..]);
+    request.attempts.push(attempt(all_candidates[2], AttemptState::Returned));
+    assert_eq!(search(&settings(), &fleet, &request)[..1], all_candidates[3..]);
 }
 
 #[test]
--- a/crates/scheduling/src/completion.rs
+++ b/crates/scheduling/src/completion.rs
@@ -5,7 +5,7 @@
 use crate::ids::{AttemptNo, MachineTypeId, Micros, RequestId, WorkerId};
 use crate::peer_message::PeerMessage;
 use crate::placement::MIN_QUEUE_PAUSE;
-use crate::request::{Attempt, AttemptState};
+use crate::request::Attempt;
 use crate::scheduler::Scheduler;
 use crate::timer::{SequenceNumber, Timer};
 use crate::worker::AttemptId;
@@ -87,8 +87,7 @@
     fn record_attempt_state(&mut self, result: &AttemptResult) {
         let Some(request) = self.requests.get_mut(result.id.request) else { return };
         let Some(attempt) = request.attempts.get_mut(result.id.number.0 as usize) else { return };
-        attempt.state =
-            if result.outcome.never_ran() { AttemptState::NeverRan } else { AttemptState::MayHaveRun };
+        attempt.state = result.outcome.into();
     }
 
     /// Gives a request its final answer when its deadline timer expires. If an attempt of the request is in
--- a/crates/scheduling/src/concurrency_limit.rs
+++ b/crates/scheduling/src/concurrency_limit.rs
@@ -47,7 +47,7 @@
         self.max_slots = (self.max_slots * factor).max(MIN_LIMIT);
         match outcome {
             Outcome::Ok => self.max_slots += INCREASE,
-            Outcome::Rejected => {
+            Outcome::Rejected | Outcome::Returned => {
                 self.max_slots = in_flight.max(MIN_LIMIT);
                 self.rejecting_until = now + REJECTION_PAUSE;
             }
--- a/crates/scheduling/src/concurrency_limit/tests.rs
+++ b/crates/scheduling/src/concurrency_limit/tests.rs
@@ -25,6 +25,7 @@
 fn a_worker_is_avoided_after_a_rejection_and_for_longer_after_a_refused_connection() {
     for (outcome, refused_immediately, pause) in [
         (Outcome::Rejected, false, REJECTION_PAUSE),
+        (Outcome::Returned, false, REJECTION_PAUSE),
         (Outcome::ConnectFailed, true, REFUSED_CONNECTION_PAUSE),
         (Outcome::ConnectFailed, false, 0),
         (Outcome::Reset, false, 0),
--- a/crates/scheduling/src/events.rs
+++ b/crates/scheduling/src/events.rs
@@ -125,8 +125,12 @@
     Ok,
     /// The worker responded with an error; the job may have run.
     Error,
-    /// The worker rejected the attempt without starting the job.
+    /// The worker rejected the attempt without starting the job, in its response to the attempt.
     Rejected,
+    /// The worker accepted the attempt and returned the job later without having started it. The worker
+    /// repeats this report until the scheduler acknowledges the report, and the report names the request, but
+    /// not the attempt.
+    Returned,
     /// The worker did not respond in time; the job may have run or may still be running.
     Timeout,
     /// No connection to the worker was established; the job never ran.
@@ -149,7 +153,11 @@
     #[must_use]
     pub fn never_ran(self) -> bool {
         match self {
-            Outcome::Rejected | Outcome::ConnectFailed | Outcome::Invalid | Outcome::NotSent => true,
+            Outcome::Rejected
+            | Outcome::Returned
+            | Outcome::ConnectFailed
+            | Outcome::Invalid
+            | Outcome::NotSent => true,
             Outcome::Ok
             | Outcome::Error
             | Outcome::Timeout
--- a/crates/scheduling/src/outlier.rs
+++ b/crates/scheduling/src/outlier.rs
@@ -45,7 +45,11 @@
             Outcome::ConnectFailed | Outcome::Reset | Outcome::NoResponse | Outcome::Error => {
                 self.eject(now);
             }
-            Outcome::Rejected | Outcome::Timeout | Outcome::Cancelled | Outcome::NotSent => {}
+            Outcome::Rejected
+            | Outcome::Returned
+            | Outcome::Timeout
+            | Outcome::Cancelled
+            | Outcome::NotSent => {}
         }
     }
 
--- a/crates/scheduling/src/outlier/tests.rs
+++ b/crates/scheduling/src/outlier/tests.rs
@@ -43,7 +43,9 @@
 
 #[test]
 fn outcomes_that_the_worker_did_not_cause_do_not_eject() {
-    for outcome in [Outcome::Rejected, Outcome::Timeout, Outcome::Cancelled, Outcome::NotSent] {
+    for outcome in
+        [Outcome::Rejected, Outcome::Returned, Outcome::Timeout, Outcome::Cancelled, Outcome::NotSent]
+    {
         assert!(!detector_after(&[outcome; 5]).is_ejected(NOW), "{outcome:?}");
         assert!(detector_after(&[Outcome::Reset, outcome, Outcome::Reset]).is_ejected(NOW), "{outcome:?}");
     }
--- a/crates/scheduling/src/placement.rs
+++ b/crates/scheduling/src/placement.rs
@@ -119,7 +119,8 @@
             return;
         }
         let is_out_of_time = now + self.answer_margin() >= request.deadline;
-        if is_out_of_time || !request.allows_attempt_at(now + self.settings.tick) {
+        let may_send = request.allows_attempt_at(now + self.settings.tick);
+        if is_out_of_time || !may_send || self.is_returned_by_all_workers(now, request) {
             return self.send_final_answer(now, id, actions);
         }
         let context = PlacementContext::new(now, id, request);
--- a/crates/scheduling/src/request.rs
+++ b/crates/scheduling/src/request.rs
@@ -1,6 +1,7 @@
 //! Pending requests, to which the scheduler has not given the final answer yet, and the attempts of these
 //! requests.
 
+use crate::events::Outcome;
 use crate::ids::{Micros, RequestId, WorkerId};
 use crate::retry::RetrySafety;
 use crate::settings::Class;
@@ -11,15 +12,30 @@
 /// worth a worker's time.
 const MIN_LATE_WEIGHT: f64 = 0.01;
 
-/// The state of an attempt: in flight, ended without a run of the job, or ended after a possible run of the
-/// job.
+/// The state of an attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum AttemptState {
     InFlight,
+    /// The attempt ended without a run of the job.
     NeverRan,
+    /// The worker returned the job without having started it. A repetition of the worker's report can't be
+    /// told from a report about a later attempt of the request at the same worker.
+    Returned,
+    /// The attempt ended after a possible run of the job.
     MayHaveRun,
 }
 
+impl From<Outcome> for AttemptState {
+    /// Returns the state of an attempt that has ended with this outcome.
+    fn from(outcome: Outcome) -> AttemptState {
+        match outcome {
+            Outcome::Returned => AttemptState::Returned,
+            outcome if outcome.never_ran() => AttemptState::NeverRan,
+            _ => AttemptState::MayHaveRun,
+        }
+    }
+}
+
 /// An attempt of a pending request.
 pub(crate) struct Attempt {
     pub(crate) worker: WorkerId,
@@ -38,6 +54,13 @@
 
     /// Whether the worker may have run the job in this attempt or may be running the job.
     pub(crate) fn may_have_run(&self) -> bool {
+        matches!(self.state, AttemptState::InFlight | AttemptState::MayHaveRun)
+    }
+
+    /// Whether the worker must get no further attempt of the request: the worker may have run the job, or may
+    /// repeat its report that it has returned the job. If the worker got the job again, the repeated report
+    /// would seem to prove that the later attempt never ran.
+    fn excludes_its_worker(&self) -> bool {
         self.state != AttemptState::NeverRan
     }
 }
@@ -96,6 +119,16 @@
         RetrySafety { idempotency: self.class.idempotency, first_run_at }
     }
 
+    /// Whether an earlier attempt rules out a further attempt of the request at this worker.
+    pub(crate) fn excludes_worker(&self, worker: WorkerId) -> bool {
+        self.attempts.iter().any(|attempt| attempt.worker == worker && attempt.excludes_its_worker())
+    }
+
+    /// Whether a worker has returned the request's job.
+    pub(crate) fn was_returned(&self) -> bool {
+        self.attempts.iter().any(|attempt| attempt.state == AttemptState::Returned)
+    }
+
     pub(crate) fn has_attempt_in_flight(&self) -> bool {
         self.attempts.iter().any(Attempt::is_in_flight)
     }
--- a/crates/scheduling/tests/properties.rs
+++ b/crates/scheduling/tests/properties.rs
@@ -24,6 +24,8 @@
     sent_at: Micros,
     /// Whether the worker may have run the job in the attempt; `None` while the attempt is in flight.
     may_have_run: Option<bool>,
+    /// Whether the worker returned the job in the attempt.
+    returned: bool,
 }
 
 /// A request, as the harness records the request for its checks.
@@ -41,6 +43,10 @@
         assert!(now < self.deadline);
         assert!(self.attempts.len() < MAX_ATTEMPTS, "more attempts than allowed");
         assert!(self.attempts.iter().all(|a| a.may_have_run.is_some()), "two attempts in flight at once");
+        assert!(
+            !self.attempts.iter().any(|a| a.returned && a.worker == worker),
+            "the worker returned the job"
+        );
         let Some(first) = self.attempts.iter().find(|a| a.may_have_run == Some(true)) else { return };
         match self.class {
             IDEMPOTENT | MACHINE_BOUND => {}
@@ -146,7 +152,7 @@
         record.check_send(sent_at, worker);
         let attempt = record.attempts.len() as u32;
         self.in_flight.push(InFlight { request, attempt, worker });
-        record.attempts.push(AttemptRecord { worker, sent_at, may_have_run: None });
+        record.attempts.push(AttemptRecord { worker, sent_at, may_have_run: None, returned: false });
     }
 
     fn on_answer(&mut self, request: u64, is_rejection: bool) {
@@ -193,7 +199,9 @@
 
     fn finish_attempt(&mut self, ended: &InFlight, outcome: Outcome, load: Option<LoadReport>) {
         let record = self.requests.get_mut(&ended.request).expect("the request of the attempt exists");
-        record.attempts[ended.attempt as usize].may_have_run = Some(!outcome.never_ran());
+        let attempt = &mut record.attempts[ended.attempt as usize];
+        attempt.may_have_run = Some(!outcome.never_ran());
+        attempt.returned = outcome == Outcome::Returned;
         record.answered |= outcome == Outcome::Ok;
         let request_closed = record.answered;
         self.event(Event::AttemptFinished {
@@ -233,9 +241,10 @@
     }
 
     fn end_attempt(&mut self, a: u8, b: u8) {
-        const OUTCOMES: [Outcome; 8] = [
+        const OUTCOMES: [Outcome; 9] = [
             Outcome::Ok,
             Outcome::Rejected,
+            Outcome::Returned,
             Outcome::ConnectFailed,
             Outcome::Error,
             Outcome::Rejected,
--- a/crates/scheduling/tests/retry.rs
+++ b/crates/scheduling/tests/retry.rs
@@ -26,6 +26,44 @@
     }
 }
 
+/// Guards against a job that runs twice: the repeated report of a worker that returned the job must not seem
+/// to prove that a later attempt at the same worker never ran. A worker that rejected the job in its response
+/// repeats no report and may get the job again.
+#[test]
+fn a_job_goes_back_to_a_worker_that_rejected_it_but_not_to_one_that_returned_it() {
+    for class in [IDEMPOTENT, KEYED_ALL, KEYED_CELL, NON_IDEMPOTENT] {
+        for (outcome, is_sent_again) in [(Outcome::Rejected, true), (Outcome::Returned, false)] {
+            let mut driver = Driver::with_fleet(settings(), 2);
+            let first = sent_to(&driver.request(1, class, "k"));
+            let second = sent_to(&driver.event(attempt_finished(1, 0, first, outcome)));
+            assert_ne!(first, second);
+            let mut actions = driver.event(attempt_finished(1, 1, second, outcome));
+            if is_sent_again {
+                let (at, token) = timers(&actions)[0];
+                actions = driver.at(at, Event::Timer(token));
+            }
+            let is_answered = has_rejection(&actions);
+            assert_eq!(
+                (sent_workers(&actions).len(), is_answered),
+                (usize::from(is_sent_again), !is_sent_again)
+            );
+        }
+    }
+}
+
+/// A returned job waits for a worker that is only ejected, and for a worker that joins while the list is
+/// empty; it is rejected only if every worker in the list has had it.
+#[test]
+fn a_returned_job_waits_while_a_worker_is_left_that_may_get_it() {
+    let mut driver = Driver::with_fleet(settings(), 2);
+    let first = sent_to(&driver.request(1, NON_IDEMPOTENT, "k"));
+    driver.event(fleet_snapshot(0));
+    let actions = driver.event(attempt_finished(1, 0, first, Outcome::Returned));
+    assert!(sent_workers(&actions).is_empty() && !has_rejection(&actions), "{actions:?}");
+    let actions = driver.event(fleet_snapshot(3));
+    assert_ne!(sent_to(&actions), first);
+}
+
 #[test]
 fn a_non_idempotent_job_that_may_have_run_fails_without_a_retry_or_a_rejection() {
     for outcome in [Outcome::Error, Outcome::Reset, Outcome::Timeout, Outcome::Cancelled] {
--- a/crates/vetchbridge/src/workers/attempt.rs
+++ b/crates/vetchbridge/src/workers/attempt.rs
@@ -256,7 +256,7 @@
             }
             CallbackState::Done => AttemptResult::Served(callback.result.into()),
             CallbackState::Failed => AttemptResult::NotServed(Outcome::Error),
-            CallbackState::Returned => AttemptResult::NotServed(Outcome::Rejected),
+            CallbackState::Returned => AttemptResult::NotServed(Outcome::Returned),
             CallbackState::Lost => AttemptResult::NotServed(Outcome::Reset),
         };
         if state != CallbackState::Done {
--- a/crates/vetchbridge/tests/cut_answers.rs
+++ b/crates/vetchbridge/tests/cut_answers.rs
@@ -344,11 +344,12 @@
 /// attempt, its repetition does not end the next attempt at the same worker before the worker has accepted
 /// that next attempt. A callback after the worker's 202 response belongs to the new attempt.
 #[rstest]
+#[case::returned("returned", Outcome::Returned)]
+#[case::failed("failed", Outcome::Error)]
+#[case::lost("lost", Outcome::Reset)]
 #[timeout(TEST_TIMEOUT)]
 #[tokio::test]
-async fn a_retried_callback_does_not_end_a_later_attempt(
-    #[values("returned", "failed", "lost")] state: &str,
-) {
+async fn a_retried_callback_does_not_end_a_later_attempt(#[case] state: &str, #[case] outcome: Outcome) {
     let fixture = Fixture::new(MINUTE);
     let first = async {
         let mut connection = fixture.accept().await;
@@ -357,7 +358,7 @@
         fixture.send_callback(state);
     };
     let (result, ()) = tokio::join!(fixture.attempt(), first);
-    assert!(matches!(result, AttemptResult::NotServed(Outcome::Rejected | Outcome::Error | Outcome::Reset)));
+    assert_eq!(result, AttemptResult::NotServed(outcome));
     let second = async {
         let mut connection = fixture.accept().await;
         connection.read_request().await.expect("the retry");
--- a/crates/vetchbridge/tests/request_attempts.rs
+++ b/crates/vetchbridge/tests/request_attempts.rs
@@ -59,6 +59,18 @@
         assert!(String::from_utf8_lossy(&head).contains(REQUEST_ID));
         (stream, name)
     }
+
+    /// Waits for the next attempt, accepts the job by a 202 and returns the job by a callback. Returns the
+    /// worker's name.
+    async fn accept_and_return_job(&self) -> &'static str {
+        let (mut stream, worker) = self.next_attempt().await;
+        read_bytes(&mut stream, "work".len()).await;
+        HttpConnection::new(stream).answer(202, "", "").await.expect("the scheduler reads");
+        let returned = json!({"id": REQUEST_ID, "from": worker, "state": "returned"}).to_string();
+        let callback: Callback = serde_json::from_str(&returned).expect("a callback");
+        assert!(self.scheduler.upstream.dispatch_callback(&callback));
+        worker
+    }
 }
 
 async fn read_bytes(stream: &mut TcpStream, count: usize) -> Vec<u8> {
@@ -146,6 +158,27 @@
     assert_eq!(retried, idempotent);
 }
 
+/// Guards against a job that runs twice: a worker repeats the callback `returned` until the scheduler's
+/// acknowledgement reaches the worker. If the worker got the same job again, the repetition would look like
+/// the return of the new attempt, and the job would be sent to another worker while the first one runs it.
+#[rstest]
+#[timeout(TEST_TIMEOUT)]
+#[tokio::test]
+async fn a_worker_that_returned_a_job_does_not_get_the_job_again() {
+    let workers = TwoWorkers::start().await;
+    let mut answer = workers.scheduler.submit(REQUEST_ID, Bytes::from_static(b"work"));
+    let first = workers.accept_and_return_job().await;
+    let second = workers.accept_and_return_job().await;
+    assert_ne!(first, second);
+    tokio::select! {
+        biased;
+        (_, worker) = workers.next_attempt() => panic!("{worker} returned the job and got the job again"),
+        answer = &mut answer => {
+            assert!(matches!(answer.expect("an answer"), Answer::Rejected { .. }));
+        }
+    }
+}
+
 /// A worker restarts under the same name and address while a job waits for a connection to this worker. The
 /// worker's new process is warming up, and no worker has received the job yet, so the job is placed again at
 /// once, at a worker with capacity.
