Require the deduplication scope of a keyed class

A new file that lacked the class's `group` was applied at SIGHUP.

Cause: the reader of the settings took a missing `group`, or one that is no string, for `all`, the widest scope: an absent key became permission to send the job anywhere. The TOML format had the same default.

Evidence: "configuration.applied" after the faulty file, and the job of each reset attempt at a worker of the other zone.

Change: a keyed class needs `group`, as it needs `window`, at the start and at SIGHUP, in both formats. Works because no scope is assumed any more, whatever file is in force.

--- a/crates/settings/src/classes.rs
+++ b/crates/settings/src/classes.rs
@@ -43,17 +43,23 @@
     let scope = deduplication_scope(entry)?;
     match entry.string("repeat")? {
         "safe" => Ok(Idempotency::Idempotent),
-        "keyed" => Ok(Idempotency::Keyed { scope, deduplication_window: entry.integer("window")? }),
+        "keyed" => Ok(Idempotency::Keyed {
+            scope: scope.ok_or_else(|| entry.missing("group", Expected::OneOf(GROUP_VALUES)))?,
+            deduplication_window: entry.integer("window")?,
+        }),
         "unsafe" => Ok(Idempotency::NonIdempotent),
         _ => Err(entry.invalid_value("repeat", Expected::OneOf(REPEAT_VALUES))),
     }
 }
 
-fn deduplication_scope(entry: &JsonObject<'_>) -> Result<DeduplicationScope, SettingsFormatError> {
+/// Returns the deduplication scope of a class; `None` if the class has none, as classes that are not keyed
+/// may. There is no default: a scope that is too wide makes a job take effect twice.
+fn deduplication_scope(entry: &JsonObject<'_>) -> Result<Option<DeduplicationScope>, SettingsFormatError> {
     match entry.optional_string("group") {
-        None | Some("all") => Ok(DeduplicationScope::All),
-        Some("zone") => Ok(DeduplicationScope::Zone),
-        Some("cell") => Ok(DeduplicationScope::Cell),
+        None => Ok(None),
+        Some("all") => Ok(Some(DeduplicationScope::All)),
+        Some("zone") => Ok(Some(DeduplicationScope::Zone)),
+        Some("cell") => Ok(Some(DeduplicationScope::Cell)),
         Some(_) => Err(entry.invalid_value("group", Expected::OneOf(GROUP_VALUES))),
     }
 }
--- a/crates/settings/src/json_object.rs
+++ b/crates/settings/src/json_object.rs
@@ -21,6 +21,16 @@
         SettingsFormatError::new(format!("{}{key}", self.path), Problem::InvalidValue(expected))
     }
 
+    /// Returns the error for a required key that the JSON object lacks, or whose value does not have the
+    /// expected form.
+    pub(crate) fn missing(&self, key: &str, expected: Expected) -> SettingsFormatError {
+        let problem = match self.get(key) {
+            None => Problem::Missing(expected),
+            Some(_) => Problem::InvalidValue(expected),
+        };
+        SettingsFormatError::new(format!("{}{key}", self.path), problem)
+    }
+
     pub(crate) fn get(&self, key: &str) -> Option<&'a Value> {
         self.map?.get(key)
     }
@@ -33,8 +43,7 @@
         expected: Expected,
         read: impl FnOnce(&'a Value) -> Option<T>,
     ) -> Result<T, SettingsFormatError> {
-        let missing = || SettingsFormatError::new(format!("{}{key}", self.path), Problem::Missing(expected));
-        let value = self.get(key).ok_or_else(missing)?;
+        let value = self.get(key).ok_or_else(|| self.missing(key, expected))?;
         read(value).ok_or_else(|| self.invalid_value(key, expected))
     }
 
--- a/crates/vetchbridge/src/config/file/classes.rs
+++ b/crates/vetchbridge/src/config/file/classes.rs
@@ -59,8 +59,8 @@
     #[serde(default)]
     #[schemars(range(min = 0.0, max = 1.0))]
     pub late_share: f64,
-    /// For a keyed class: which workers drop a repeat of a request: all, zone (the workers in the zone of the
-    /// worker that may have run the request) or cell (the workers in that worker's cell).
+    /// For a keyed class (required): which workers drop a repeat of a request: all, zone (the workers in the
+    /// zone of the worker that may have run the request) or cell (the workers in that worker's cell).
     #[serde(default)]
     pub group: Group,
     /// For a keyed class (required): how long workers drop repeats of a request, counted from the first
--- a/crates/vetchbridge/src/config/translate.rs
+++ b/crates/vetchbridge/src/config/translate.rs
@@ -161,23 +161,34 @@
 
     /// Returns whether a request of the class with this index may run more than once.
     fn idempotency(&mut self, index: usize) -> Idempotency {
+        match self.file.class[index].repeat {
+            Repeat::Safe => Idempotency::Idempotent,
+            Repeat::Unsafe => Idempotency::NonIdempotent,
+            Repeat::Keyed => self.keyed(index),
+        }
+    }
+
+    /// Returns the deduplication scope and window of the keyed class with this index. A missing one is
+    /// recorded as an error in the configuration file, since neither has a safe default.
+    fn keyed(&mut self, index: usize) -> Idempotency {
         let class = &self.file.class[index];
+        let group_key = format!("class[{index}].group");
+        let (has_group, _) = self.text.locate(&group_key);
+        if !has_group {
+            let remedy = "write which workers drop repeats of a keyed request: all, zone or cell";
+            self.add_fault(group_key, "missing", remedy);
+        }
+        let Some(window) = class.window else {
+            let remedy = "write how long workers drop repeats of a keyed request, such as window = \"15s\"";
+            self.add_fault(format!("class[{index}].window"), "missing", remedy);
+            return Idempotency::NonIdempotent;
+        };
         let scope = match class.group {
             Group::All => DeduplicationScope::All,
             Group::Zone => DeduplicationScope::Zone,
             Group::Cell => DeduplicationScope::Cell,
         };
-        match (class.repeat, class.window) {
-            (Repeat::Safe, _) => Idempotency::Idempotent,
-            (Repeat::Unsafe, _) => Idempotency::NonIdempotent,
-            (Repeat::Keyed, Some(window)) => Idempotency::Keyed { scope, deduplication_window: window.0 },
-            (Repeat::Keyed, None) => {
-                let remedy =
-                    "write how long workers drop repeats of a keyed request, such as window = \"15s\"";
-                self.add_fault(format!("class[{index}].window"), "missing", remedy);
-                Idempotency::NonIdempotent
-            }
-        }
+        Idempotency::Keyed { scope, deduplication_window: window.0 }
     }
 
     fn class(&mut self, index: usize) -> Class {
--- a/crates/vetchbridge/tests/configuration.rs
+++ b/crates/vetchbridge/tests/configuration.rs
@@ -96,6 +96,11 @@
     "repeat = \"keyed\"",
     "class[0].window: missing; write how long workers drop"
 )]
+#[case::group(
+    "\n[[peer]]",
+    "\n[[class]]\nname = \"pay\"\nrepeat = \"keyed\"\nwindow = \"1s\"\naim = \"1s\"\ndeadline = \"2s\"\n[[peer]]",
+    "class[1].group: missing; write which workers drop"
+)]
 #[case::aim("aim = \"500ms\"", "aim = \"11s\"", "class[0].aim: longer than the deadline; use at most 10s")]
 #[case::scheduler_number("me = 0", "me = 4", "tier.me: must be below tier.schedulers; use 0 to 0")]
 #[case::probes(
--- a/crates/vetchbridge/tests/reload.rs
+++ b/crates/vetchbridge/tests/reload.rs
@@ -303,6 +303,32 @@
     assert!(harness.daemon.wait_for_log("limits.max_attempts").await.contains("expected a number above 0"));
 }
 
+/// Guards against a keyed job that runs twice: a class that was added without a deduplication scope, which only
+/// keyed classes have, must not let a later file without the scope of a keyed class pass.
+#[rstest]
+#[timeout(TEST_TIMEOUT)]
+#[tokio::test]
+async fn a_keyed_class_without_a_scope_is_rejected_beside_a_class_that_needs_none() {
+    let mut harness = Harness::start(0).await;
+    let mut config = daemon_config(harness.discovery.local_addr().unwrap(), json!([]));
+    let services = config["settings"]["services"].as_array_mut().expect("a list of classes");
+    let mut added = services[0].clone();
+    added["name"] = "added".into();
+    for key in ["group", "window"] {
+        added.as_object_mut().expect("a class object").remove(key).expect("the class has the key");
+    }
+    services.push(added);
+    replace_file(&harness.daemon.config_path, &config.to_string());
+    harness.daemon.signal("-HUP");
+    assert!(harness.daemon.wait_for_log("configuration.applied").await.contains("added"));
+    let incomplete = without_key(&config, "/settings/services/2", "group");
+    replace_file(&harness.daemon.config_path, &incomplete);
+    harness.daemon.signal("-HUP");
+    let logged = harness.daemon.wait_for_log("configuration.").await;
+    assert!(logged.contains("configuration.invalid") && logged.contains("services[].group"), "{logged}");
+    harness.daemon.wait_for_log("configuration.unchanged").await;
+}
+
 const DEADLINE: &str = "/settings/services/2/deadline";
 const MAX_ATTEMPTS: &str = "/settings/limits/max_attempts";
 
@@ -342,6 +368,7 @@
         (without_key("/settings/services/1", "importance"), "settings.services[1].importance"),
         (without_key("/settings/services/2", "deadline"), "settings.services[2].deadline"),
         (without_key("/settings/services/2", "window"), "window"),
+        (without_key("/settings/services/2", "group"), "group"),
     ];
     for value in [json!(0), json!(-1), json!(0.5), json!("5"), json!(null), json!(true), json!([])] {
         cases.push((with_value(valid, DEADLINE, value.clone()), "settings.services[2].deadline"));
