Compare the classes of a new file by name with those in force

A file that lacked a key of one class was applied at SIGHUP as soon as another class in force had no such key either.

Cause: the check that a new document lacks no key (check_no_key_removed) required of the entries of a list only those keys that every entry in force had. A class without the key, or a file that was applied with such a class, ended the check of that key for all classes.

Change: config/completeness.rs in place of the function in platform.rs. Works because a class is held to its own keys.

--- a/crates/vetchbridge/src/config/mod.rs
+++ b/crates/vetchbridge/src/config/mod.rs
@@ -13,6 +13,7 @@
 //! converts the result to the settings of the decision module and the daemon. `translate` also reports the
 //! faults that a schema can't find.
 
+mod completeness;
 mod fault;
 pub mod file;
 mod platform;
@@ -140,7 +141,7 @@
 pub fn reload(flags: &Flags, in_force: Option<&Value>) -> Result<Config, ConfigError> {
     let config = read_sources(flags, ReadReason::Reload)?;
     match (in_force, &config.platform_document) {
-        (Some(old), Some(new)) => platform::check_no_key_removed(old, new).map(|()| config),
+        (Some(old), Some(new)) => completeness::check(old, new).map(|()| config),
         (Some(_), None) => Err(ConfigError::single(
             "configuration",
             "",
--- a/crates/vetchbridge/tests/reload.rs
+++ b/crates/vetchbridge/tests/reload.rs
@@ -329,6 +329,25 @@
     harness.daemon.wait_for_log("configuration.unchanged").await;
 }
 
+/// Guards against a key that a new file lacks unnoticed, so that its default applies: the entries of the
+/// classes are compared by name, although another class in force has no such key.
+#[rstest]
+#[timeout(TEST_TIMEOUT)]
+#[tokio::test]
+async fn a_class_keeps_each_of_its_keys_although_another_class_lacks_it() {
+    let mut config = daemon_config("127.0.0.1:1".parse().expect("a valid address"), json!([]));
+    let first = config["settings"]["services"][0].as_object_mut().expect("a class object");
+    first.remove("late_share").expect("the class has the key");
+    let folder = tempfile::tempdir().expect("a temporary folder");
+    let (mut daemon, _discovery) = Process::start_serving(&mut config, folder.path()).await;
+    replace_file(&daemon.config_path, &without_key(&config, "/settings/services/2", "late_share"));
+    daemon.signal("-HUP");
+    let logged = daemon.wait_for_log("configuration.").await;
+    assert!(logged.contains("configuration.invalid"), "{logged}");
+    assert!(logged.contains("settings.services[2].late_share: missing"), "{logged}");
+    daemon.wait_for_log("configuration.unchanged").await;
+}
+
 const DEADLINE: &str = "/settings/services/2/deadline";
 const MAX_ATTEMPTS: &str = "/settings/limits/max_attempts";
 
