Require the saved list of a new file at SIGHUP, as every other key

Callers saw: nothing yet.

Cause: the check left out the whole key, and not only its contents, which come and go.

Measured: tests of reload, starting, upgrade and the library pass.

--- a/crates/vetchbridge/src/config/completeness.rs
+++ b/crates/vetchbridge/src/config/completeness.rs
@@ -11,7 +11,7 @@
 const SOURCE: &str = "configuration";
 /// The remedy for a key that the new document lacks.
 const REMEDY: &str = "add the key, or restart the process to remove the key on purpose";
-/// The saved endpoint list. The list is used only when a process starts, and its entries come and go.
+/// The key of the saved endpoint list. Only its presence is required: the list's entries come and go.
 const SAVED_LIST: &str = "known";
 /// The key of a list entry's name. Entries with the same name are compared with one another.
 const NAME: &str = "name";
@@ -32,8 +32,10 @@
 pub(super) fn check(in_force: &Value, new: &Value) -> Result<(), ConfigError> {
     let mut comparison = Comparison::default();
     if let (Value::Object(in_force), Value::Object(new)) = (in_force, new) {
-        let compared = in_force.iter().filter(|(key, _)| *key != SAVED_LIST);
-        compared.for_each(|(key, value)| comparison.compare_key(key, value, new.get(key)));
+        for (key, value) in in_force {
+            let value = if key == SAVED_LIST { &Value::Null } else { value };
+            comparison.compare_key(key, value, new.get(key));
+        }
     }
     if comparison.faults.is_empty() {
         Ok(())
--- a/crates/vetchbridge/src/config/completeness/tests.rs
+++ b/crates/vetchbridge/src/config/completeness/tests.rs
@@ -29,6 +29,7 @@
 /// Guards against a key of one class that a new file lacks unnoticed because another class in force lacks it.
 #[rstest]
 #[case::key_of_the_root("/discovery", "discovery")]
+#[case::saved_list("/known", "known")]
 #[case::nested_key("/settings/limits/peers", "settings.limits.peers")]
 #[case::section("/settings/specifics", "settings.specifics")]
 #[case::scope_of_a_keyed_class("/settings/services/1/group", "settings.services[1].group")]
--- a/crates/vetchbridge/tests/reload.rs
+++ b/crates/vetchbridge/tests/reload.rs
@@ -381,6 +381,7 @@
         (without_key("", "discovery"), "discovery"),
         (without_key("", "limits"), "limits"),
         (without_key("", "admin"), "admin"),
+        (without_key("", "known"), "known"),
         (without_key("/settings", "services"), "settings.services"),
         (without_key("/settings/limits", "dial_timeout"), "settings.limits.dial_timeout"),
         (without_key("/settings/rules", "cold"), "settings.rules.cold"),
