Reject a list of machine types that leaves a class out

A class without an entry in specifics.class_kind, or with one that is no number, ran on workers of any machine type.

Change: where the list is given, it needs a number for each class, at the start and at SIGHUP. Without the list, classes run on any machine type, as before.

--- a/crates/settings/src/classes.rs
+++ b/crates/settings/src/classes.rs
@@ -33,7 +33,7 @@
         priority_weight: entry.number_or("importance", 1.0)?,
         late_weight: entry.number_or("late_share", 0.0)?,
         idempotency,
-        machine_type: specifics.machine_type(index),
+        machine_type: specifics.machine_type(index)?,
         priority: specifics.priority(index),
         stream: entry.boolean_or("stream", false)?,
     })
--- a/crates/settings/src/error.rs
+++ b/crates/settings/src/error.rs
@@ -43,6 +43,8 @@
     Objects,
     /// A number.
     Number,
+    /// A JSON list with one number for each class of requests.
+    NumberForEachClass,
     /// A non-negative number; a fraction of the number is dropped.
     Integer,
     /// A number from 0 to [`u32::MAX`]; a fraction of the number is dropped.
@@ -62,6 +64,7 @@
             Expected::List => f.write_str("a list"),
             Expected::Objects => f.write_str("a list of objects"),
             Expected::Number => f.write_str("a number"),
+            Expected::NumberForEachClass => f.write_str("a list with a number for each class"),
             Expected::Integer => f.write_str("a non-negative number"),
             Expected::SmallInteger => write!(f, "a number from 0 to {}", u32::MAX),
             Expected::Boolean => f.write_str("true or false"),
--- a/crates/settings/src/specifics.rs
+++ b/crates/settings/src/specifics.rs
@@ -1,6 +1,6 @@
 //! Reads the part `specifics` of a settings object: settings that only some deployments have.
 
-use crate::error::SettingsFormatError;
+use crate::error::{Expected, SettingsFormatError};
 use crate::json_object::JsonObject;
 use serde_json::Value;
 use vetchbridge_scheduling::{MachineTypeId, Micros, QueueOrder};
@@ -31,11 +31,16 @@
 
     /// Returns the only machine type that runs the class of requests with index `class`, or `None` if any
     /// machine type runs the class. For a class that any machine type runs, the list in the settings object
-    /// has a negative number or no entry.
-    pub(crate) fn machine_type(&self, class: usize) -> Option<MachineTypeId> {
-        self.class_number("class_kind", class)
-            .filter(|number| *number >= 0.0)
-            .map(|number| MachineTypeId(number as u32))
+    /// has a negative number. A list without an entry for the class is an error: the class might be bound to
+    /// a machine type.
+    pub(crate) fn machine_type(&self, class: usize) -> Result<Option<MachineTypeId>, SettingsFormatError> {
+        if self.object.get("class_kind").is_none() {
+            return Ok(None);
+        }
+        let number = self
+            .class_number("class_kind", class)
+            .ok_or_else(|| self.object.invalid_value("class_kind", Expected::NumberForEachClass))?;
+        Ok((number >= 0.0).then_some(MachineTypeId(number as u32)))
     }
 
     pub(crate) fn priority(&self, class: usize) -> i64 {
--- a/crates/settings/tests/reading.rs
+++ b/crates/settings/tests/reading.rs
@@ -178,6 +178,24 @@
 )]
 #[case::flag(r#""peers": true"#, r#""peers": 1"#, "limits.peers", "true or false")]
 #[case::integer(r#""ask_within": 7"#, r#""ask_within": -7"#, "rules.ask_within", "a non-negative number")]
+#[case::no_kind_for_a_class(
+    r#""class_kind": [4, -1]"#,
+    r#""class_kind": [4]"#,
+    "specifics.class_kind",
+    "a list with a number for each class"
+)]
+#[case::kind_that_is_no_number(
+    r#""class_kind": [4, -1]"#,
+    r#""class_kind": ["4", -1]"#,
+    "specifics.class_kind",
+    "a list with a number for each class"
+)]
+#[case::kinds_that_are_no_list(
+    r#""class_kind": [4, -1]"#,
+    r#""class_kind": null"#,
+    "specifics.class_kind",
+    "a list with a number for each class"
+)]
 #[case::number(r#""waste": 0.3"#, r#""waste": null"#, "charges.waste", "a number")]
 #[case::object(r#""limits": {"#, r#""limits": 1, "unlimited": {"#, "limits", "an object")]
 fn the_error_for_an_invalid_value_names_the_path_and_the_expected_form(
