--- a/crates/vetchbridge/src/config/completeness/tests.rs
+++ b/crates/vetchbridge/src/config/completeness/tests.rs
@@ -15,12 +15,11 @@
 fn fault_keys(pointer: &str, new: Option<Value>) -> Vec<String> {
     let mut document = in_force();
     let (parent, key) = pointer.rsplit_once('/').expect("a pointer");
-    match new {
-        Some(new) => *document.pointer_mut(pointer).expect("the document has the key") = new,
-        None => {
-            let parent = document.pointer_mut(parent).and_then(Value::as_object_mut).expect("an object");
-            parent.remove(key).expect("the document has the key");
-        }
+    if let Some(new) = new {
+        *document.pointer_mut(pointer).expect("the document has the key") = new;
+    } else {
+        let parent = document.pointer_mut(parent).and_then(Value::as_object_mut).expect("an object");
+        parent.remove(key).expect("the document has the key");
     }
     let faults = check(&in_force(), &document).err().map_or_else(Vec::new, |error| error.0);
     faults.into_iter().map(|fault| fault.key).collect()
