Treat workers of unknown zones or cells as members of no group

A keyed job that may have run at a worker whose zone the settings do not name (after a reload that drops a zone, for one) was sent again to a worker of another such zone, and ran twice.

Cause: the lack of knowledge counted as agreement. All names that the settings lack got one index, and an entry without a cell got cell 0, so that any two such workers were in the same zone or cell.

Change: ZoneId::UNKNOWN, CellId::UNKNOWN and MachineTypeId::UNKNOWN in the module; drops_repeat asks whether two workers surely share the group. An entry without a cell has no known cell, also a [[peer]] of a TOML file. The JSON of the hand-over is as before. Works because equality of two unknowns no longer counts.

--- a/crates/scheduling/src/ids.rs
+++ b/crates/scheduling/src/ids.rs
@@ -23,14 +23,39 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ZoneId(pub u32);
 
+impl ZoneId {
+    /// The zone of a worker whose zone is not known. Two workers with this id may be in different zones.
+    pub const UNKNOWN: ZoneId = ZoneId(u32::MAX);
+
+    /// Whether a worker with this id and a worker with the id `other` are surely in the same zone.
+    pub(crate) fn is_surely(self, other: ZoneId) -> bool {
+        self != ZoneId::UNKNOWN && self == other
+    }
+}
+
 /// Identifies a machine type of workers; a class may require one machine type.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct MachineTypeId(pub u32);
 
+impl MachineTypeId {
+    /// The machine type of a worker whose machine type is not known. No class requires this machine type.
+    pub const UNKNOWN: MachineTypeId = MachineTypeId(u32::MAX);
+}
+
 /// Identifies a cell: a group of workers that share the idempotency keys that they have seen.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct CellId(pub u32);
 
+impl CellId {
+    /// The cell of a worker whose cell is not known. Two workers with this id may be in different cells.
+    pub const UNKNOWN: CellId = CellId(u32::MAX);
+
+    /// Whether a worker with this id and a worker with the id `other` are surely in the same cell.
+    pub(crate) fn is_surely(self, other: CellId) -> bool {
+        self != CellId::UNKNOWN && self == other
+    }
+}
+
 /// Number of an attempt within its request: 0, 1, 2 and so on, in the order of the request's
 /// [`Action::Send`](crate::Action::Send)s.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
--- a/crates/scheduling/src/retry.rs
+++ b/crates/scheduling/src/retry.rs
@@ -46,7 +46,8 @@
 }
 
 /// Whether the worker `candidate` drops a repeat of a keyed job, if the job may have run at the worker
-/// `first` before; `first` is `None` if that worker is no longer known.
+/// `first` before; `first` is `None` if that worker is no longer known. Returns `false` if it is not known
+/// whether the two workers share a zone or a cell.
 pub(crate) fn drops_repeat(
     scope: DeduplicationScope,
     first: Option<&Endpoint>,
@@ -54,8 +55,8 @@
 ) -> bool {
     match scope {
         DeduplicationScope::All => true,
-        DeduplicationScope::Zone => first.is_some_and(|first| first.zone == candidate.zone),
-        DeduplicationScope::Cell => first.is_some_and(|first| first.cell == candidate.cell),
+        DeduplicationScope::Zone => first.is_some_and(|first| first.zone.is_surely(candidate.zone)),
+        DeduplicationScope::Cell => first.is_some_and(|first| first.cell.is_surely(candidate.cell)),
     }
 }
 
--- a/crates/scheduling/src/retry/tests.rs
+++ b/crates/scheduling/src/retry/tests.rs
@@ -52,6 +52,14 @@
         assert_eq!(drops_repeat(scope, Some(&first), &other), dropped, "{scope:?}");
     }
     assert!(!drops_repeat(DeduplicationScope::Zone, None, &first));
+    let unknown = Endpoint { zone: ZoneId::UNKNOWN, cell: CellId::UNKNOWN, ..Endpoint::default() };
+    for (scope, dropped) in [
+        (DeduplicationScope::All, true),
+        (DeduplicationScope::Zone, false),
+        (DeduplicationScope::Cell, false),
+    ] {
+        assert_eq!(drops_repeat(scope, Some(&unknown), &unknown), dropped, "unknown {scope:?}");
+    }
 }
 
 #[test]
--- a/crates/vetchbridge/src/config/file/fleet.rs
+++ b/crates/vetchbridge/src/config/file/fleet.rs
@@ -145,7 +145,8 @@
     /// Machine type of the worker, one of fleet.kinds; the first machine type if absent.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub kind: Option<String>,
-    /// Number of the worker's cell, to which class.group = "cell" refers.
+    /// Number of the worker's cell, to which class.group = "cell" refers. Without it, the cell is unknown, and
+    /// a job that the worker may have run is sent again to no other worker of a class with that group.
     #[serde(default)]
     pub cell: u32,
     /// Weight of the worker, which is its size relative to other workers. fleet.weights says whether the
--- a/crates/vetchbridge/src/config/translate.rs
+++ b/crates/vetchbridge/src/config/translate.rs
@@ -228,13 +228,14 @@
             self.name_index(format!("peer[{index}].zone"), worker.zone.as_ref(), &fleet.zones, "fleet.zones");
         let machine_type =
             self.name_index(format!("peer[{index}].kind"), worker.kind.as_ref(), &fleet.kinds, "fleet.kinds");
+        let (has_cell, _) = self.text.locate(&format!("peer[{index}].cell"));
         let name = |names: &[String], index: u32| names.get(index as usize).cloned().unwrap_or_default();
         Instance {
             instance_id: worker.name.clone(),
             host_port: worker.address.to_string(),
             zone: name(&fleet.zones, zone),
             machine_type: name(&fleet.kinds, machine_type),
-            cell: worker.cell,
+            cell: has_cell.then_some(worker.cell),
             lifecycle: InstanceState::Up,
             weight: worker.weight,
             started_at_ms: 0,
--- a/crates/vetchbridge/src/discovery/document.rs
+++ b/crates/vetchbridge/src/discovery/document.rs
@@ -8,9 +8,6 @@
 use std::net::SocketAddr;
 use vetchbridge_scheduling::{CellId, Endpoint, EndpointState, MachineTypeId, ZoneId};
 
-/// Index that stands for a zone or machine type that the settings do not name. No request class and no
-/// scheduler has this index.
-const UNKNOWN_INDEX: u32 = u32::MAX;
 /// Microseconds per millisecond. Times in the discovery protocol are in milliseconds, and times in the
 /// decision module are in microseconds.
 const MICROS_PER_MILLI: u64 = 1000;
@@ -50,9 +47,9 @@
     /// The worker's machine type.
     #[serde(default)]
     pub machine_type: String,
-    /// The worker's cell.
-    #[serde(default)]
-    pub cell: u32,
+    /// The worker's cell; `None` if the entry has none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cell: Option<u32>,
     /// The worker's state as the discovery service reports it.
     pub lifecycle: InstanceState,
     /// The worker's capacity relative to that of other workers.
@@ -95,9 +92,10 @@
     pub fn to_endpoint(&self, names: &NameTables) -> Endpoint {
         Endpoint {
             worker: worker_id(&self.instance_id),
-            zone: ZoneId(index_of(&names.zones, &self.zone)),
-            machine_type: MachineTypeId(index_of(&names.machine_types, &self.machine_type)),
-            cell: CellId(self.cell),
+            zone: index_of(&names.zones, &self.zone).map_or(ZoneId::UNKNOWN, ZoneId),
+            machine_type: index_of(&names.machine_types, &self.machine_type)
+                .map_or(MachineTypeId::UNKNOWN, MachineTypeId),
+            cell: self.cell.map_or(CellId::UNKNOWN, CellId),
             state: self.endpoint_state(),
             weight: self.weight,
             // Only the unit of the start time is converted, since the engine's clock reads Unix time too.
@@ -106,6 +104,7 @@
     }
 }
 
-fn index_of(names: &[String], name: &str) -> u32 {
-    names.iter().position(|known| known == name).map_or(UNKNOWN_INDEX, |index| index as u32)
+/// Returns the index of a name that the settings list; `None` for other names.
+fn index_of(names: &[String], name: &str) -> Option<u32> {
+    names.iter().position(|known| known == name).map(|index| index as u32)
 }
--- a/crates/vetchbridge/tests/compatibility.rs
+++ b/crates/vetchbridge/tests/compatibility.rs
@@ -15,7 +15,7 @@
         host_port: "127.0.0.1:8081".to_string(),
         zone: "north".to_string(),
         machine_type: "plain".to_string(),
-        cell: 3,
+        cell: Some(3),
         lifecycle: InstanceState::Draining,
         weight: 1.5,
         started_at_ms: 1_700_000_000_123,
--- a/crates/vetchbridge/tests/worker_failures.rs
+++ b/crates/vetchbridge/tests/worker_failures.rs
@@ -5,10 +5,11 @@
 
 use common::*;
 use rstest::rstest;
-use serde_json::json;
+use serde_json::{json, Value};
 use std::net::SocketAddr;
 use tokio::io::AsyncWriteExt;
-use tokio::net::TcpSocket;
+use tokio::net::{TcpListener, TcpSocket};
+use vetchbridge_testbed::wire::HttpConnection;
 
 /// A job that may have run on the failed worker is retried only if its class is idempotent. A job that never
 /// ran is always retried.
@@ -45,6 +46,61 @@
     assert_eq!(status(client.read().await.as_ref()), if retried { "200" } else { "502" });
 }
 
+/// Guards against a keyed job that runs twice: workers whose zones the settings do not name, or whose entries
+/// in the endpoint list have no cell, do not count as one group that drops the job's repeat.
+#[rstest]
+#[case::one_zone("zone", json!({"zone": "a"}), json!({"zone": "a"}), true)]
+#[case::unnamed_zones("zone", json!({"zone": "x"}), json!({"zone": "y"}), false)]
+#[case::no_zones("zone", json!({"zone": ""}), json!({"zone": ""}), false)]
+#[case::one_cell("cell", json!({"cell": 7}), json!({"cell": 7}), true)]
+#[case::no_cells("cell", json!({"cell": null}), json!({"cell": null}), false)]
+#[timeout(TEST_TIMEOUT)]
+#[tokio::test]
+async fn a_keyed_job_that_may_have_run_is_retried_only_in_a_known_group(
+    #[case] group: &str,
+    #[case] first: Value,
+    #[case] second: Value,
+    #[case] retried: bool,
+) {
+    let mut listeners = Vec::new();
+    let mut endpoints = Vec::new();
+    for (number, keys) in [first, second].into_iter().enumerate() {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let mut endpoint = instance(number, listener.local_addr().expect("a bound socket"), "up");
+        for (key, value) in keys.as_object().expect("an object") {
+            endpoint[key] = value.clone();
+        }
+        if endpoint["cell"].is_null() {
+            endpoint.as_object_mut().expect("an object").remove("cell");
+        }
+        endpoints.push(endpoint);
+        listeners.push(listener);
+    }
+    let mut config = daemon_config("127.0.0.1:1".parse().expect("a valid address"), json!(endpoints));
+    config["settings"]["services"][2]["group"] = group.into();
+    let folder = tempfile::tempdir().expect("a temporary folder");
+    let (daemon, _discovery) = Process::start_serving(&mut config, folder.path()).await;
+    let mut client = dial(daemon.address).await;
+    let headers = "X-Trace-Id: 00000000000000ab\r\nIdempotency-Key: 1\r\nX-Expires-In: 1000m\r\n";
+    client.post_request("/keyed/k", headers, "work").await;
+    let (accepted, other) = tokio::select! {
+        accepted = listeners[0].accept() => (accepted, &listeners[1]),
+        accepted = listeners[1].accept() => (accepted, &listeners[0]),
+    };
+    let mut worker = HttpConnection::new(accepted.expect("a connection").0);
+    worker.read().await.expect("the job");
+    worker.send("HTTP/1.1 500 Oops\r\ncontent-length: 0\r\n\r\n").await;
+    let is_retried = tokio::select! {
+        biased;
+        _ = other.accept() => true,
+        answer = client.read() => {
+            assert_eq!(status(answer.as_ref()), "502");
+            false
+        }
+    };
+    assert_eq!(is_retried, retried);
+}
+
 /// A callback about an attempt that has ended is acknowledged and otherwise ignored, even if the callback
 /// carries a result. When the callback arrives, the job is in flight at another worker, and the first attempt
 /// may have failed before it completed.
