Audit a client's resend by the arrival of attempts, not by their start

Cause: the check, not the scheduler. Trace of the kept logs: n1 sends the request to standard-0, which accepts it at 35.047 s; n1's process is then killed (its next line is a start at 37.17 s, without daemon.stopped); the client can't tell this from the close of an idle connection and sends the request again, and n3 has it accepted by standard-2 at 35.163 s.

Change: a run is excused by when its attempt arrived at the worker: what arrived before the resend can only come from the scheduler that died. Attempts that arrive after the resend count as before, whenever they start. The new test's first case fails with the former comparison, its second passes with both.

--- a/crates/testbed/src/audit.rs
+++ b/crates/testbed/src/audit.rs
@@ -246,7 +246,7 @@
                 continue;
             };
             self.affinity.record(run);
-            if resent_in_outage.get(&run.id).is_some_and(|resent| run.started < *resent) {
+            if resent_in_outage.get(&run.id).is_some_and(|resent| run.arrived < *resent) {
                 continue;
             }
             // Repeated runs are counted by job, not by attempt: a client may retry a non-idempotent job only
@@ -275,8 +275,8 @@
     }
 
     /// Returns when each attempt in flight during an outage was sent again on a new connection, by request
-    /// id. A client can't distinguish the end of its scheduler from the close of an idle connection, so a run
-    /// that started before the resend doesn't count towards repeated runs.
+    /// id. A client can't distinguish the end of its scheduler from the close of an idle connection, so the run
+    /// of an attempt that had arrived at its worker before the resend doesn't count towards repeated runs.
     fn resent_in_outage(&self) -> HashMap<u64, Duration> {
         let attempts = self.jobs.iter().flat_map(|job| &job.attempts);
         let excused = attempts.filter(|attempt| self.is_excused(attempt));
--- a/crates/testbed/src/runs.rs
+++ b/crates/testbed/src/runs.rs
@@ -36,6 +36,8 @@
     pub object: String,
     /// The name of the worker that ran the job.
     pub worker: String,
+    /// When the attempt's complete request arrived at the worker, counted from the start of the recording.
+    pub arrived: Duration,
     /// When the run started, counted from the start of the recording.
     pub started: Duration,
     /// How the run ended, or [`RunEnd::Running`].
--- a/crates/testbed/src/worker/connection.rs
+++ b/crates/testbed/src/worker/connection.rs
@@ -107,10 +107,11 @@
             Some(Err(_)) => return self.answer(400, "", "").await,
             None => return self.answer(404, "", "").await,
         };
+        let arrived = self.worker.elapsed();
         self.worker.runs.record_attempt(AttemptArrival {
             id,
             worker: self.worker.spec.name.clone(),
-            at: self.worker.elapsed(),
+            at: arrived,
             expires_in: expires_in(&message),
         });
         if let ControlFlow::Break(keep_alive) = self.misbehave(&behavior).await {
@@ -119,7 +120,7 @@
         if !self.worker.has_capacity() {
             return self.end_attempt(503, true).await;
         }
-        let job = JobRequest::read(id, self.scheduler, &message, self.worker.spec.work);
+        let job = JobRequest::read(id, arrived, self.scheduler, &message, self.worker.spec.work);
         self.accept(job, behavior, job_starts).await
     }
 
--- a/crates/testbed/src/worker/job.rs
+++ b/crates/testbed/src/worker/job.rs
@@ -30,6 +30,8 @@
 pub(super) struct JobRequest {
     /// The request id of the job's attempt.
     pub(super) id: u64,
+    /// When the complete request arrived, counted from the start of the recording of runs.
+    arrived: Duration,
     /// Address of the scheduler that sent the job, to which callbacks are sent.
     pub(super) scheduler: SocketAddr,
     /// The job's work: its run time in a slot at speed 1.
@@ -47,6 +49,7 @@
     /// `work_us=NUMBER` (otherwise `default_work`) and its slots as `slots=NUMBER` (otherwise 1).
     pub(super) fn read(
         id: u64,
+        arrived: Duration,
         scheduler: SocketAddr,
         message: &Message,
         default_work: Duration,
@@ -56,6 +59,7 @@
         let body = message.text();
         JobRequest {
             id,
+            arrived,
             scheduler,
             work: number_after(&body, "work_us=").map_or(default_work, Duration::from_micros),
             slots: number_after(&body, "slots=").map_or(1, |slots| slots as usize),
@@ -73,6 +77,7 @@
             class: self.class.clone(),
             object: self.object.clone(),
             worker: worker.to_string(),
+            arrived: self.arrived,
             started,
             end: RunEnd::Running,
         }
--- a/crates/testbed/tests/audit.rs
+++ b/crates/testbed/tests/audit.rs
@@ -98,6 +98,7 @@
         class: format!("c{number}"),
         object: format!("o{number}"),
         worker: "s-0".to_string(),
+        arrived: Duration::ZERO,
         started: Duration::ZERO,
         end: RunEnd::Finished,
     }
@@ -191,13 +192,32 @@
 fn a_run_that_started_before_a_resend_in_an_outage_does_not_count_as_repeated() {
     let mut records = Records::correct();
     records.attempt(NON_IDEMPOTENT).resent = Some(milliseconds(10));
-    records.runs.push(Run { started: milliseconds(20), ..run(NON_IDEMPOTENT) });
+    let after_the_resend = milliseconds(20);
+    records.runs.push(Run { arrived: after_the_resend, started: after_the_resend, ..run(NON_IDEMPOTENT) });
     records.attempt(NON_IDEMPOTENT).outcome = Outcome::Served(run_result(2, 3));
     assert_eq!(records.violations(&[outage(0, 900)]), []);
     let without_excuse = records.violations(&[outage(1_001, 2_000)]);
     assert_eq!(without_excuse, [Violation::ConnectionLost(2), Violation::NonIdempotentRanTwice(2)]);
 }
 
+/// A worker may queue an attempt of a scheduler that dies, and run the job after the client has sent the request
+/// again. A run of an attempt that arrived after the resend counts as repeated, whenever it started.
+#[rstest]
+#[case::arrived_before_the_resend(9, &[])]
+#[case::arrived_after_the_resend(11, &[Violation::NonIdempotentRanTwice(2)])]
+fn a_queued_attempt_of_a_scheduler_that_died_does_not_count_as_repeated(
+    #[case] arrived_ms: u64,
+    #[case] expected: &[Violation],
+) {
+    let mut records = Records::correct();
+    records.attempt(NON_IDEMPOTENT).resent = Some(milliseconds(10));
+    records.runs[NON_IDEMPOTENT].arrived = milliseconds(20);
+    records.runs[NON_IDEMPOTENT].started = milliseconds(20);
+    let (arrived, started) = (milliseconds(arrived_ms), milliseconds(30));
+    records.runs.push(Run { arrived, started, ..run(NON_IDEMPOTENT) });
+    assert_eq!(records.violations(&[outage(0, 900)]), expected);
+}
+
 #[test]
 fn only_an_attempt_in_flight_during_an_outage_may_be_lost() {
     let mut records = Records::correct();
--- a/crates/testbed/tests/runs.rs
+++ b/crates/testbed/tests/runs.rs
@@ -8,7 +8,16 @@
 fn run(key: &str, started_s: u64) -> Run {
     let (class, object, worker) = ("c".to_string(), "o".to_string(), "s-0".to_string());
     let started = Duration::from_secs(started_s);
-    Run { id: 1, key: Some(key.to_string()), class, object, worker, started, end: RunEnd::Running }
+    Run {
+        id: 1,
+        key: Some(key.to_string()),
+        class,
+        object,
+        worker,
+        arrived: started,
+        started,
+        end: RunEnd::Running,
+    }
 }
 
 #[test]
