Let a new file fill a list that is empty in force

Seen: found by reading the change again. A list that is empty in force, such as stats.fields, counted as a list of objects, so that any file that fills it with values was turned down.

Change: such a list says nothing about its entries.

--- a/crates/vetchbridge/src/config/completeness.rs
+++ b/crates/vetchbridge/src/config/completeness.rs
@@ -84,11 +84,14 @@
     }
 
     /// Compares two lists of objects, entry by entry. An entry whose name the list in force lacks needs the
-    /// keys that every entry in force has.
+    /// keys that every entry in force has. A list that is empty in force says nothing about its entries.
     fn compare_lists(&mut self, path: &str, in_force: &[Value], new: &[Value]) {
         let Some(in_force) = in_force.iter().map(Value::as_object).collect::<Option<Vec<_>>>() else {
             return;
         };
+        if in_force.is_empty() {
+            return;
+        }
         for (index, entry) in new.iter().enumerate() {
             let path = format!("{path}[{index}]");
             let Some(entry) = entry.as_object() else {
--- a/crates/vetchbridge/src/config/completeness/tests.rs
+++ b/crates/vetchbridge/src/config/completeness/tests.rs
@@ -5,7 +5,7 @@
 /// Returns a document with two classes, of which only the second has every key of a class.
 fn in_force() -> Value {
     json!({"discovery": "127.0.0.1:1", "admin": null, "known": {"generation": 1}, "peers": ["127.0.0.1:2"],
-        "settings": {"specifics": {"class_kind": [-1, 0]}, "limits": {"peers": true}, "services": [
+        "fields": [], "settings": {"specifics": {"class_kind": [-1, 0]}, "limits": {"peers": true}, "services": [
             {"name": "report", "repeat": "safe", "aim": 1},
             {"name": "pay", "repeat": "keyed", "group": "zone", "window": 2, "aim": 1, "late_share": 0.5}]}})
 }
@@ -54,6 +54,7 @@
 #[case::other_value("/discovery", json!("127.0.0.1:9"))]
 #[case::value_in_place_of_null("/admin", json!("127.0.0.1:9"))]
 #[case::shorter_list_of_values("/peers", json!([]))]
+#[case::values_in_an_empty_list("/fields", json!(["x0"]))]
 #[case::saved_list("/known", json!({}))]
 #[case::classes_in_another_order("/settings/services", json!([
     {"name": "pay", "repeat": "keyed", "group": "cell", "window": 3, "aim": 1, "late_share": 0.5},
--- a/crates/vetchbridge/tests/reload.rs
+++ b/crates/vetchbridge/tests/reload.rs
@@ -366,6 +366,22 @@
     invalid.to_string()
 }
 
+/// Guards against a check of a new file that is too strict: a list that is empty in force may be filled.
+#[rstest]
+#[timeout(TEST_TIMEOUT)]
+#[tokio::test]
+async fn a_list_that_is_empty_in_force_may_be_filled() {
+    let mut config = daemon_config("127.0.0.1:1".parse().expect("a valid address"), json!([]));
+    config["settings"]["stats"] = json!({"via": "off", "fields": []});
+    let folder = tempfile::tempdir().expect("a temporary folder");
+    let (mut daemon, _discovery) = Process::start_serving(&mut config, folder.path()).await;
+    config["settings"]["stats"] = json!({"via": "inline", "fields": ["queue"]});
+    replace_file(&daemon.config_path, &config.to_string());
+    daemon.signal("-HUP");
+    let logged = daemon.wait_for_log("configuration.").await;
+    assert!(logged.contains("configuration.applied"), "{logged}");
+}
+
 /// Returns invalid configuration texts, each with the key or fault that the log must name.
 fn invalid_configurations(valid: &Value) -> Vec<(String, &'static str)> {
     let text = valid.to_string();
@@ -389,6 +405,7 @@
         (without_key("/settings/services/2", "deadline"), "settings.services[2].deadline"),
         (without_key("/settings/services/2", "window"), "window"),
         (without_key("/settings/services/2", "group"), "group"),
+        (with_value(valid, "/settings/areas", json!(null)), "settings.areas"),
     ];
     for value in [json!(0), json!(-1), json!(0.5), json!("5"), json!(null), json!(true), json!([])] {
         cases.push((with_value(valid, DEADLINE, value.clone()), "settings.services[2].deadline"));
