Hold the successor of an upgrade to the document in force

A file that SIGHUP had rejected for a missing key was applied by the successor of an upgrade, which had no document to compare it with, although both processes are one scheduler.

Change: the offer of the hand-over carries the platform's document in force; older versions neither send nor need the field. A successor whose file lacks a key logs what SIGHUP logs and keeps the settings and the discovery service in force. Also plainer names: is_known_and_equal, missing_or_invalid.

--- a/crates/scheduling/src/ids.rs
+++ b/crates/scheduling/src/ids.rs
@@ -27,8 +27,8 @@
     /// The zone of a worker whose zone is not known. Two workers with this id may be in different zones.
     pub const UNKNOWN: ZoneId = ZoneId(u32::MAX);
 
-    /// Whether a worker with this id and a worker with the id `other` are surely in the same zone.
-    pub(crate) fn is_surely(self, other: ZoneId) -> bool {
+    /// Whether both ids are the same zone; `false` if the zone is unknown.
+    pub(crate) fn is_known_and_equal(self, other: ZoneId) -> bool {
         self != ZoneId::UNKNOWN && self == other
     }
 }
@@ -50,8 +50,8 @@
     /// The cell of a worker whose cell is not known. Two workers with this id may be in different cells.
     pub const UNKNOWN: CellId = CellId(u32::MAX);
 
-    /// Whether a worker with this id and a worker with the id `other` are surely in the same cell.
-    pub(crate) fn is_surely(self, other: CellId) -> bool {
+    /// Whether both ids are the same cell; `false` if the cell is unknown.
+    pub(crate) fn is_known_and_equal(self, other: CellId) -> bool {
         self != CellId::UNKNOWN && self == other
     }
 }
--- a/crates/scheduling/src/retry.rs
+++ b/crates/scheduling/src/retry.rs
@@ -55,8 +55,8 @@
 ) -> bool {
     match scope {
         DeduplicationScope::All => true,
-        DeduplicationScope::Zone => first.is_some_and(|first| first.zone.is_surely(candidate.zone)),
-        DeduplicationScope::Cell => first.is_some_and(|first| first.cell.is_surely(candidate.cell)),
+        DeduplicationScope::Zone => first.is_some_and(|first| first.zone.is_known_and_equal(candidate.zone)),
+        DeduplicationScope::Cell => first.is_some_and(|first| first.cell.is_known_and_equal(candidate.cell)),
     }
 }
 
--- a/crates/settings/src/classes.rs
+++ b/crates/settings/src/classes.rs
@@ -44,7 +44,7 @@
     match entry.string("repeat")? {
         "safe" => Ok(Idempotency::Idempotent),
         "keyed" => Ok(Idempotency::Keyed {
-            scope: scope.ok_or_else(|| entry.missing("group", Expected::OneOf(GROUP_VALUES)))?,
+            scope: scope.ok_or_else(|| entry.missing_or_invalid("group", Expected::OneOf(GROUP_VALUES)))?,
             deduplication_window: entry.integer("window")?,
         }),
         "unsafe" => Ok(Idempotency::NonIdempotent),
--- a/crates/settings/src/json_object.rs
+++ b/crates/settings/src/json_object.rs
@@ -23,7 +23,7 @@
 
     /// Returns the error for a required key that the JSON object lacks, or whose value does not have the
     /// expected form.
-    pub(crate) fn missing(&self, key: &str, expected: Expected) -> SettingsFormatError {
+    pub(crate) fn missing_or_invalid(&self, key: &str, expected: Expected) -> SettingsFormatError {
         let problem = match self.get(key) {
             None => Problem::Missing(expected),
             Some(_) => Problem::InvalidValue(expected),
@@ -43,7 +43,7 @@
         expected: Expected,
         read: impl FnOnce(&'a Value) -> Option<T>,
     ) -> Result<T, SettingsFormatError> {
-        let value = self.get(key).ok_or_else(|| self.missing(key, expected))?;
+        let value = self.get(key).ok_or_else(|| self.missing_or_invalid(key, expected))?;
         read(value).ok_or_else(|| self.invalid_value(key, expected))
     }
 
--- a/crates/vetchbridge/src/config/completeness.rs
+++ b/crates/vetchbridge/src/config/completeness.rs
@@ -11,8 +11,6 @@
 const SOURCE: &str = "configuration";
 /// The remedy for a key that the new document lacks.
 const REMEDY: &str = "add the key, or restart the process to remove the key on purpose";
-/// The key of the saved endpoint list. Only its presence is required: the list's entries come and go.
-const SAVED_LIST: &str = "known";
 /// The key of a list entry's name. Entries with the same name are compared with one another.
 const NAME: &str = "name";
 /// The key of a class's idempotency, and the value for classes whose jobs have an idempotency key.
@@ -23,7 +21,8 @@
 
 type Object = Map<String, Value>;
 
-/// Checks that the platform document `new` has every key that the document `in_force` has.
+/// Checks that the platform document `new` has every key that the document `in_force` has. Of a key that is
+/// null in the document in force, such as the saved endpoint list, only the presence is required.
 ///
 /// # Errors
 ///
@@ -33,7 +32,6 @@
     let mut comparison = Comparison::default();
     if let (Value::Object(in_force), Value::Object(new)) = (in_force, new) {
         for (key, value) in in_force {
-            let value = if key == SAVED_LIST { &Value::Null } else { value };
             comparison.compare_key(key, value, new.get(key));
         }
     }
--- a/crates/vetchbridge/src/config/completeness/tests.rs
+++ b/crates/vetchbridge/src/config/completeness/tests.rs
@@ -4,7 +4,7 @@
 
 /// Returns a document with two classes, of which only the second has every key of a class.
 fn in_force() -> Value {
-    json!({"discovery": "127.0.0.1:1", "admin": null, "known": {"generation": 1}, "peers": ["127.0.0.1:2"],
+    json!({"discovery": "127.0.0.1:1", "admin": null, "known": null, "peers": ["127.0.0.1:2"],
         "fields": [], "settings": {"specifics": {"class_kind": [-1, 0]}, "limits": {"peers": true}, "services": [
             {"name": "report", "repeat": "safe", "aim": 1},
             {"name": "pay", "repeat": "keyed", "group": "zone", "window": 2, "aim": 1, "late_share": 0.5}]}})
--- a/crates/vetchbridge/src/config/mod.rs
+++ b/crates/vetchbridge/src/config/mod.rs
@@ -60,8 +60,6 @@
     pub settings_snapshot: SettingsSnapshot,
     /// Seed of the decision module's random numbers.
     pub seed: u64,
-    /// The platform's JSON document as the daemon read it; `None` if the configuration is a TOML file.
-    pub platform_document: Option<Value>,
     /// Format and filter of the log.
     pub log: file::Log,
 }
@@ -140,7 +138,7 @@
 /// new document lacks, so that a partly written file does not pass for a complete document.
 pub fn reload(flags: &Flags, in_force: Option<&Value>) -> Result<Config, ConfigError> {
     let config = read_sources(flags, ReadReason::Reload)?;
-    match (in_force, &config.platform_document) {
+    match (in_force, &config.settings_snapshot.platform_document) {
         (Some(old), Some(new)) => completeness::check(old, new).map(|()| config),
         (Some(_), None) => Err(ConfigError::single(
             "configuration",
@@ -152,11 +150,34 @@
     }
 }
 
+/// Holds the configuration of a successor process to the platform's document `in_force` in its predecessor,
+/// since both processes are one scheduler. If the successor's document lacks a key, the settings and the
+/// discovery service of the document in force replace those of `config`, as if a reload had been rejected.
+///
+/// # Errors
+///
+/// Returns a fault for each key that the document in force has and the successor's document lacks.
+pub fn hold_to_predecessor(config: &mut Config, flags: &Flags, in_force: &Value) -> Result<(), ConfigError> {
+    let Some(new) = &config.settings_snapshot.platform_document else { return Ok(()) };
+    let Err(faults) = completeness::check(in_force, new) else { return Ok(()) };
+    // The discovery service of a document that names one may have changed since the process started.
+    let names_discovery = in_force.get("discovery").is_some();
+    let reason = if names_discovery { ReadReason::Reload } else { ReadReason::Start };
+    let env = |key: &str| variable(key, reason);
+    let inherited = read("predecessor", &in_force.to_string(), flags, &env)?.config;
+    config.settings_snapshot = inherited.settings_snapshot;
+    config.endpoint_source = inherited.endpoint_source;
+    Err(faults)
+}
+
+/// Returns the value of an environment variable that counts when the configuration is read for this reason.
+fn variable(key: &str, reason: ReadReason) -> Option<String> {
+    non_empty_variable(key)
+        .filter(|_| reason == ReadReason::Start || !matches!(key, "BALANCER_DISCOVERY" | "RUST_LOG"))
+}
+
 fn read_sources(flags: &Flags, reason: ReadReason) -> Result<Config, ConfigError> {
-    let env = |key: &str| {
-        non_empty_variable(key)
-            .filter(|_| reason == ReadReason::Start || !matches!(key, "BALANCER_DISCOVERY" | "RUST_LOG"))
-    };
+    let env = |key: &str| variable(key, reason);
     let own_file = flags.config.as_deref().map(|path| Ok((path, read_to_string(path)?))).transpose()?;
     let Some(platform) = env("BALANCER_CONFIG") else {
         let Some((path, text)) = own_file else {
--- a/crates/vetchbridge/src/config/platform.rs
+++ b/crates/vetchbridge/src/config/platform.rs
@@ -23,6 +23,8 @@
 /// Default of the time after which workers close an idle connection.
 pub const DEFAULT_CONN_IDLE: Duration = Duration::from_secs(60);
 
+/// The key of the saved endpoint list.
+const SAVED_LIST: &str = "known";
 /// Maximum number of characters that a scheduler's name contributes to the file name of its handover socket.
 /// The path of a Unix socket is limited to 107 characters in total.
 const MAX_NAME_IN_FILE: usize = 32;
@@ -147,7 +149,7 @@
             listen: self.required(root, "listen").unwrap_or(placeholder),
             discovery: self.required(root, "discovery").unwrap_or(placeholder),
             admin: self.optional(top, "admin", "admin"),
-            saved_list: self.optional(top, "known", "known").unwrap_or_default(),
+            saved_list: self.optional(top, SAVED_LIST, SAVED_LIST).unwrap_or_default(),
             peer_listen: self.optional(top, "peer_listen", "peer_listen"),
             peer_addresses: self.optional(top, "peers", "peers").unwrap_or_default(),
             broadcast_address: self.optional(top, "peers_all", "peers_all"),
@@ -205,6 +207,14 @@
     }
 }
 
+/// Returns the platform's document with null in place of its saved endpoint list, which may be long.
+fn without_saved_list(mut root: Map<String, Value>) -> Value {
+    if let Some(saved_list) = root.get_mut(SAVED_LIST) {
+        *saved_list = Value::Null;
+    }
+    Value::Object(root)
+}
+
 /// Parses the text of the platform's configuration document as a JSON object.
 fn parse(source: &str, text: &str) -> Result<Map<String, Value>, ConfigError> {
     serde_json::from_str(text).map_err(|error| {
@@ -242,7 +252,7 @@
     env: &Environment<'_>,
 ) -> Result<LoadedConfig, ConfigError> {
     let mut root = parse(source, text)?;
-    let unchanged = Value::Object(root.clone());
+    let unchanged = without_saved_list(root.clone());
     let overrides = apply(&mut root, flags, env);
     let root = Value::Object(root);
     let mut document = Document { source, faults: Vec::new() };
@@ -251,10 +261,12 @@
     let (Some(settings), true) = (settings, document.faults.is_empty()) else {
         return Err(ConfigError(document.faults));
     };
+    let mut settings_snapshot = settings.snapshot();
+    settings_snapshot.platform_document = Some(unchanged);
     let config = Config {
         // The platform keeps the folder `TMPDIR` from one process of a scheduler to the next.
         handover_path: env("TMPDIR").map(|folder| Path::new(&folder).join(handover_file_name(&own.name))),
-        peers: own.peers(&settings.settings),
+        peers: own.peers(&settings_snapshot.settings),
         name: own.name,
         listen: own.listen,
         admin: own.admin,
@@ -263,8 +275,7 @@
         max_memory: own.memory_mb.saturating_mul(1 << 20),
         saved_list: own.saved_list,
         seed: own.seed,
-        settings_snapshot: settings.snapshot(),
-        platform_document: Some(unchanged),
+        settings_snapshot,
         log: precedence::log(&file::File::default(), flags, env),
     };
     let from = |key: &str| overrides.origin(key).unwrap_or(source).to_string();
--- a/crates/vetchbridge/src/config/translate.rs
+++ b/crates/vetchbridge/src/config/translate.rs
@@ -104,7 +104,6 @@
             saved_list,
             seed: file.seed.map_or_else(new_seed, |seed| seed.0),
             settings_snapshot: settings_snapshot(file, settings),
-            platform_document: None,
             log: file.log.clone(),
         })
     }
--- a/crates/vetchbridge/src/serve/mod.rs
+++ b/crates/vetchbridge/src/serve/mod.rs
@@ -16,7 +16,7 @@
 mod startup;
 
 use crate::admin;
-use crate::config::{Config, Flags};
+use crate::config::{self, Config, Flags};
 use crate::invariants::violation_count;
 use crate::lifecycle::clock::Lifecycle;
 use crate::logs::Logs;
@@ -74,6 +74,11 @@
 ) -> Result<(), ServeError> {
     let SignalNotifications { hangup, terminate } = signals.watch().map_err(ServeError::Signals)?;
     let inherited = take_over(&mut config).await;
+    if let Some(in_force) = inherited.as_ref().and_then(|inherited| inherited.offer.configuration.as_ref()) {
+        if let Err(error) = config::hold_to_predecessor(&mut config, &flags, in_force) {
+            reload::log_rejection(&error);
+        }
+    }
     let process_links = Arc::new(ProcessLinks::default());
     let quiesced = inherited.as_ref().is_some_and(|inherited| inherited.offer.quiesced);
     let lifecycle = Arc::new(Lifecycle::new(quiesced));
--- a/crates/vetchbridge/src/serve/reload.rs
+++ b/crates/vetchbridge/src/serve/reload.rs
@@ -1,13 +1,12 @@
 //! Reads the daemon's configuration again and applies it at each SIGHUP.
 //!
-//! [`Reloader`] owns the configuration document in the platform's format that is in force; a new document is
-//! checked against the document in force. An invalid configuration is rejected as a whole.
+//! A new document in the platform's format is checked against the document in force. An invalid configuration
+//! is rejected as a whole.
 
 use super::startup::SharedState;
-use crate::config::{self, Config, Flags};
+use crate::config::{self, Config, ConfigError, Flags};
 use crate::discovery::request::DiscoveryRequest;
 use crate::logs::Logs;
-use serde_json::Value;
 use std::sync::{Arc, PoisonError};
 use std::time::Duration;
 use tokio::sync::mpsc::UnboundedSender;
@@ -19,8 +18,6 @@
 pub(super) struct Reloader {
     pub flags: Flags,
     pub logs: Logs,
-    /// The configuration document in force; `None` if the configuration is not in the platform's format.
-    pub platform_document: Option<Value>,
     pub discovery_requests: UnboundedSender<DiscoveryRequest>,
     pub shared: SharedState,
 }
@@ -28,22 +25,20 @@
 impl Reloader {
     /// Reads the configuration again at each SIGHUP until the process ends. A process that drains or shuts
     /// down handles SIGHUP too, since it still places jobs on workers and needs an up-to-date endpoint list.
-    pub async fn run(mut self, hangup: Arc<Notify>) {
+    pub async fn run(self, hangup: Arc<Notify>) {
         loop {
             hangup.notified().await;
-            match config::reload(&self.flags, self.platform_document.as_ref()) {
+            let in_force = self.shared.current_settings.get();
+            match config::reload(&self.flags, in_force.platform_document.as_ref()) {
                 Ok(config) => self.apply(config),
-                Err(error) => {
-                    error.0.iter().for_each(|fault| error!(%fault, "configuration.invalid"));
-                    warn!(faults = error.0.len(), "configuration.unchanged");
-                }
+                Err(error) => log_rejection(&error),
             }
         }
     }
 
     /// Applies the settings, the source of the endpoint list and the log filter of a configuration. All other
     /// values take effect at the next start.
-    fn apply(&mut self, config: Config) {
+    fn apply(&self, config: Config) {
         let SharedState { engine, upstream, current_settings, endpoint_list } = &self.shared;
         if let Err(error) = self.logs.set_filter(&config.log.filter.0) {
             error!(%error, "log.filter_invalid");
@@ -57,7 +52,6 @@
         if old.settings != settings {
             engine.handle(Event::Settings(Box::new(settings)));
         }
-        self.platform_document = config.platform_document;
         if (&old.names.zones, &old.names.machine_types) != (&names.zones, &names.machine_types) {
             // The scheduler has the endpoints with the old indices of zones and machine types. No job may be
             // placed by the old indices, so the endpoints are passed to the scheduler again with the new
@@ -71,3 +65,9 @@
         info!(classes = names.classes.join(","), "configuration.applied");
     }
 }
+
+/// Logs each fault of a configuration that was rejected, and that the configuration in force stays.
+pub(super) fn log_rejection(error: &ConfigError) {
+    error.0.iter().for_each(|fault| error!(%fault, "configuration.invalid"));
+    warn!(faults = error.0.len(), "configuration.unchanged");
+}
--- a/crates/vetchbridge/src/serve/startup.rs
+++ b/crates/vetchbridge/src/serve/startup.rs
@@ -92,13 +92,7 @@
         discovery_requests.clone(),
         datagrams,
     );
-    let reloader = Reloader {
-        flags,
-        logs,
-        platform_document: config.platform_document,
-        discovery_requests,
-        shared: shared.clone(),
-    };
+    let reloader = Reloader { flags, logs, discovery_requests, shared: shared.clone() };
     tokio::spawn(reloader.run(hangup));
     tokio::spawn(shared.engine.clone().run_timers());
     let peer_socket = config.peers.zip(peer_socket).and_then(|(peers, socket)| {
@@ -115,6 +109,7 @@
         listener: listener_duplicate,
         peer_socket,
         endpoint_list: shared.endpoint_list,
+        current_settings: shared.current_settings,
         lifecycle,
         engine: shared.engine,
         upstream: shared.upstream,
--- a/crates/vetchbridge/src/snapshot.rs
+++ b/crates/vetchbridge/src/snapshot.rs
@@ -5,6 +5,7 @@
 //! module does not check them again.
 
 use crate::workers::load_report::LoadReportSettings;
+use serde_json::Value;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use vetchbridge_scheduling::{Class, Settings, Tenant, TenantId};
@@ -33,6 +34,10 @@
     pub worker_idle_timeout: Duration,
     /// Which load reports of workers are used, and how their fields are interpreted.
     pub load_reports: LoadReportSettings,
+    /// The platform's document that the settings come from, with null in place of its saved endpoint list;
+    /// `None` if the configuration is a TOML file. A new document must not lack a key of the document in
+    /// force.
+    pub platform_document: Option<Value>,
 }
 
 impl SettingsSnapshot {
@@ -48,7 +53,7 @@
         if !settings.tenants.is_empty() {
             settings.tenants.push(Tenant { quota_per_second: 0.0 });
         }
-        SettingsSnapshot { settings, names, worker_idle_timeout, load_reports }
+        SettingsSnapshot { settings, names, worker_idle_timeout, load_reports, platform_document: None }
     }
 
     /// Returns the id of the tenant with this name. For an unlisted tenant, returns the id of the added
--- a/crates/vetchbridge/src/upgrade/message.rs
+++ b/crates/vetchbridge/src/upgrade/message.rs
@@ -8,6 +8,7 @@
 use crate::discovery::document::Instance;
 use crate::workers::Callback;
 use serde::{Deserialize, Serialize};
+use serde_json::Value;
 use std::net::SocketAddr;
 use std::os::fd::OwnedFd;
 
@@ -17,6 +18,8 @@
 /// Maximum length of an encoded hand-over message, in bytes. A worker's callback with a body of 64 KiB fits,
 /// encoded as JSON.
 pub const MAX_MESSAGE_BYTES: usize = 160 * 1024;
+/// Maximum length of the configuration in an [`Offer`], in bytes. The rest of the message is short.
+pub const MAX_CONFIGURATION_BYTES: usize = MAX_MESSAGE_BYTES - 4 * 1024;
 /// Maximum length of a hand-over message with several entries of the endpoint list, in bytes. An entry that
 /// is longer gets a message of its own.
 const MAX_BATCH_BYTES: usize = 32 * 1024;
@@ -100,6 +103,10 @@
     pub confirmed: bool,
     /// The number of client connections that the predecessor has.
     pub connections: usize,
+    /// The platform's document in force, without its saved endpoint list; `None` if the configuration is a
+    /// TOML file, or if the document is too long for the message. Older versions don't send the field.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub configuration: Option<Value>,
 }
 
 /// Returns the value of `confirmed` for an offer that lacks the field. Older versions of the daemon, which
--- a/crates/vetchbridge/src/upgrade/message/tests.rs
+++ b/crates/vetchbridge/src/upgrade/message/tests.rs
@@ -19,7 +19,14 @@
 /// Decoding an encoded message returns the original message; an incomplete message can't be decoded.
 #[test]
 fn a_message_is_decoded_completely_or_not_at_all() {
-    let offer = Offer { quiesced: true, source: None, generation: Some(7), confirmed: false, connections: 3 };
+    let offer = Offer {
+        quiesced: true,
+        source: None,
+        generation: Some(7),
+        confirmed: false,
+        connections: 3,
+        configuration: None,
+    };
     let messages = [
         HandoverMessage::Offer(offer),
         HandoverMessage::Endpoints(Vec::new()),
--- a/crates/vetchbridge/src/upgrade/predecessor.rs
+++ b/crates/vetchbridge/src/upgrade/predecessor.rs
@@ -2,7 +2,7 @@
 //!
 //! This module owns the handover listener. If a successor fails, this process continues to serve as before.
 
-use super::message::{batch_endpoints, HandoverMessage, Offer, VERSION};
+use super::message::{batch_endpoints, HandoverMessage, Offer, MAX_CONFIGURATION_BYTES, VERSION};
 use super::process_links::{Link, ProcessLinks};
 use super::reader::{MessageReader, ReceiveError};
 use super::socket::{HandoverListener, HandoverSocket};
@@ -12,7 +12,9 @@
 use crate::engine::Engine;
 use crate::lifecycle::clock::Lifecycle;
 use crate::lifecycle::state::LifecycleState;
+use crate::snapshot::CurrentSettings;
 use crate::workers::UpstreamGroup;
+use serde_json::Value;
 use std::io;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::os::fd::AsFd;
@@ -59,6 +61,8 @@
     pub peer_socket: Option<UdpSocket>,
     /// The endpoint list as last published.
     pub endpoint_list: Arc<Mutex<EndpointList>>,
+    /// The settings in force, with the document that they come from.
+    pub current_settings: Arc<CurrentSettings>,
     /// The lifecycle of this process.
     pub lifecycle: Arc<Lifecycle>,
     /// The engine, which runs the decision module.
@@ -159,6 +163,7 @@
             generation: generation.filter(|_| complete),
             confirmed: self.lifecycle.state() != LifecycleState::Starting,
             connections: self.client_server.connection_count(),
+            configuration: self.configuration_in_force(),
         });
         let mut descriptors = vec![self.listener.as_fd()];
         descriptors.extend(self.peer_socket.as_ref().map(AsFd::as_fd));
@@ -170,6 +175,19 @@
     }
 }
 
+impl HandoverServer {
+    /// Returns the platform's document in force, if there is one that fits into the offer.
+    fn configuration_in_force(&self) -> Option<Value> {
+        let document = self.current_settings.get().platform_document.clone()?;
+        let length = document.to_string().len();
+        if length > MAX_CONFIGURATION_BYTES {
+            warn!(length, "upgrade.configuration_too_long");
+            return None;
+        }
+        Some(document)
+    }
+}
+
 fn publish_listener(path: &Path) -> io::Result<HandoverListener> {
     let mut listener = HandoverListener::open(path)?;
     listener.publish(path)?;
--- a/crates/vetchbridge/tests/common/in_process.rs
+++ b/crates/vetchbridge/tests/common/in_process.rs
@@ -148,6 +148,7 @@
             names: old.names.clone(),
             worker_idle_timeout: old.worker_idle_timeout,
             load_reports: old.load_reports,
+            platform_document: old.platform_document.clone(),
         });
     }
 
--- a/crates/vetchbridge/tests/compatibility.rs
+++ b/crates/vetchbridge/tests/compatibility.rs
@@ -53,6 +53,7 @@
         generation: Some(7),
         confirmed: false,
         connections: 2,
+        configuration: None,
     };
     let hello = HandoverMessage::Hello {
         version: VERSION,
@@ -97,6 +98,21 @@
     assert!(offer.confirmed);
 }
 
+#[test]
+fn an_offer_with_and_without_a_configuration_is_read() {
+    for configuration in [None, Some(json!({"name": "n-0"}))] {
+        let mut literal = json!({"Offer": {"quiesced": false, "source": null, "generation": null, "confirmed": true, "connections": 0}});
+        if let Some(configuration) = &configuration {
+            literal["Offer"]["configuration"] = configuration.clone();
+        }
+        let decoded = HandoverMessage::decode(literal.to_string().as_bytes());
+        let Ok(HandoverMessage::Offer(offer)) = decoded else { panic!("an offer") };
+        assert_eq!(offer.configuration, configuration);
+        let written: Value = serde_json::from_slice(&HandoverMessage::Offer(offer).encode()).expect("JSON");
+        assert_eq!(written, literal);
+    }
+}
+
 #[test]
 fn callbacks_keep_the_names_of_their_states() {
     for (name, state) in [
--- a/crates/vetchbridge/tests/upgrade.rs
+++ b/crates/vetchbridge/tests/upgrade.rs
@@ -98,6 +98,35 @@
     assert_eq!(status(client.read().await.as_ref()), "200", "the connection is still served");
 }
 
+/// Guards against a file that SIGHUP has rejected and that the successor of an upgrade applies: both processes
+/// are one scheduler, and the successor keeps the settings in force. A complete file applies again.
+#[rstest]
+#[timeout(TEST_TIMEOUT)]
+#[tokio::test]
+async fn a_successor_keeps_the_settings_in_force_if_its_file_lacks_a_key() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let mut config = daemon_config("127.0.0.1:1".parse().expect("a valid address"), json!([]));
+    config["settings"]["specifics"] = json!({"class_kind": [-1, -1, 0]});
+    let (first, _discovery) = Process::start_serving(&mut config, folder.path()).await;
+    config["listen"] = first.address.to_string().into();
+    let mut incomplete = config.clone();
+    incomplete["settings"]["services"][0]["name"] = "fresh".into();
+    incomplete["settings"].as_object_mut().expect("an object").remove("specifics");
+    let mut successor = Process::start(&incomplete, folder.path());
+    assert_eq!(successor.admin_command("health").await, "ok serving\n");
+    let mut client = dial(successor.address).await;
+    client.post_request("/fresh/k", "X-Trace-Id: 00000000000000aa\r\n", "").await;
+    assert_eq!(status(client.read().await.as_ref()), "400", "the file was not applied");
+    // The successor holds a new file to the settings in force too.
+    successor.signal("-HUP");
+    assert!(successor.wait_for_log("configuration.").await.contains("settings.specifics: missing"));
+    successor.wait_for_log("configuration.unchanged").await;
+    config["settings"]["services"][0]["name"] = "fresh".into();
+    std::fs::write(&successor.config_path, config.to_string()).expect("the write succeeds");
+    successor.signal("-HUP");
+    assert!(successor.wait_for_log("configuration.applied").await.contains("fresh"));
+}
+
 /// The UDP socket for messages between schedulers is handed over to the successor process too: two processes
 /// can't both bind its address, and the address must stay bound throughout the upgrade.
 #[rstest]
