Keep scripts of the known-red tests closed while children start

Cause: the tests run in threads of one process. Between fork and exec, a child that another test starts holds a copy of the descriptor by which copy_files writes the script, and Linux executes no file that is open for writing. The mark of it is the error itself: the script's own writer has closed it by then.

Change: writing scripts and starting children exclude one another, as spawn_lock does for sockets in the daemon's tests. No check changes.

--- a/crates/testkit/tests/known_red.rs
+++ b/crates/testkit/tests/known_red.rs
@@ -5,7 +5,8 @@
 use rstest::rstest;
 use std::fs;
 use std::path::Path;
-use std::process::{Command, Stdio};
+use std::process::{Command, Output, Stdio};
+use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 use tempfile::TempDir;
 
@@ -64,6 +65,20 @@
     ("two/tests/stories.rs", "#[test]\nfn fails() { first::run_named(\"two::stories fails\") }\n"),
 ];
 
+/// Locks the writing of scripts and the start of child processes. Between fork and exec, a child process that
+/// another test starts holds a copy of every file that this process writes, and a script that is open for
+/// writing can't be executed.
+static SPAWN_LOCK: Mutex<()> = Mutex::new(());
+
+/// Runs a command to its end and returns its output.
+fn output(command: &mut Command) -> Output {
+    let started = {
+        let _lock = SPAWN_LOCK.lock().unwrap_or_else(PoisonError::into_inner);
+        command.stdout(Stdio::piped()).stderr(Stdio::piped()).spawn()
+    };
+    started.expect("the command runs").wait_with_output().expect("the command ends")
+}
+
 struct Workspace(TempDir);
 
 struct Run {
@@ -125,8 +140,7 @@
         }
         let workspace = Self(folder);
         workspace.copy_files(&["Makefile", ".ci/test", ".ci/runner"]);
-        let locked =
-            workspace.command("cargo", &["generate-lockfile", "--offline"]).output().expect("cargo runs");
+        let locked = output(&mut workspace.command("cargo", &["generate-lockfile", "--offline"]));
         assert!(locked.status.success(), "{locked:?}");
         workspace
     }
@@ -138,6 +152,7 @@
     /// Copies files of this repository to the same paths in the temporary workspace.
     fn copy_files(&self, files: &[&str]) {
         fs::create_dir_all(self.path().join(".ci")).expect("a folder");
+        let _lock = SPAWN_LOCK.lock().unwrap_or_else(PoisonError::into_inner);
         for file in files {
             fs::copy(Path::new(ROOT).join(file), self.path().join(file)).expect("the file is copied");
         }
@@ -166,7 +181,7 @@
     }
 
     fn run(command: &mut Command) -> Run {
-        let output = command.output().expect("the command runs");
+        let output = output(command);
         let text = |bytes| String::from_utf8(bytes).expect("text");
         Run { success: output.status.success(), stdout: text(output.stdout), stderr: text(output.stderr) }
     }
