Collect a body in one buffer, however it is cut into chunks

Cause: a body was collected as a list of its chunks. An entry for each chunk and the pieces of read buffers that it kept took up to 2 MB for a body of 60,000 bytes, of which 64 KiB were reserved. Callers saw nothing until the platform killed the scheduler for its memory and their jobs were lost.

--- a/crates/vetchbridge/src/clients/body.rs
+++ b/crates/vetchbridge/src/clients/body.rs
@@ -4,7 +4,8 @@
 //! rejected at once.
 
 use super::connection::ClientConnection;
-use axum::body::{to_bytes, Body, HttpBody};
+use crate::net::collect;
+use axum::body::{Body, HttpBody};
 use axum::http::header::CONNECTION;
 use axum::http::StatusCode;
 use axum::response::{IntoResponse, Response};
@@ -102,7 +103,7 @@
     }
     let permit = memory.reserve(size_hint.exact().map_or(MAX_BODY_BYTES, |bytes| bytes as usize))?;
     let deadline = connection.request_arrival_deadline() - TIMEOUT_MARGIN;
-    match tokio::time::timeout_at(deadline, to_bytes(body, MAX_BODY_BYTES)).await {
+    match tokio::time::timeout_at(deadline, collect(body, MAX_BODY_BYTES)).await {
         Ok(Ok(body)) => {
             connection.mark_awaiting_response();
             Ok((body, permit))
--- a/crates/vetchbridge/src/workers/message.rs
+++ b/crates/vetchbridge/src/workers/message.rs
@@ -2,8 +2,9 @@
 
 use super::expiry::{self, header_length, request_line_length, EXPIRES_IN_HEADER};
 use super::load_report::LOAD_REPORT_HEADER;
+use crate::net::{collect, BodyReadError};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::Full;
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONTENT_LENGTH, HOST};
 use hyper::http::uri::{Authority, PathAndQuery, Scheme};
@@ -135,9 +136,10 @@
     /// Reads the whole body of the worker's response. Returns an empty body if the body is longer than
     /// [`MAX_BODY_BYTES`], and `None` if the connection failed.
     pub(super) async fn read_body(&mut self) -> Option<Bytes> {
-        match Limited::new(&mut self.body, MAX_BODY_BYTES).collect().await {
-            Ok(body) => Some(body.to_bytes()),
-            Err(error) => error.is::<LengthLimitError>().then(Bytes::new),
+        match collect(&mut self.body, MAX_BODY_BYTES).await {
+            Ok(body) => Some(body),
+            Err(BodyReadError::TooLong) => Some(Bytes::new()),
+            Err(BodyReadError::Failed) => None,
         }
     }
 
--- a/crates/vetchbridge/tests/common/mod.rs
+++ b/crates/vetchbridge/tests/common/mod.rs
@@ -320,16 +320,21 @@
     /// Starts a daemon as [`Harness::start_with_other_workers`] does, with `sockets` as the daemon's limit on
     /// file descriptors.
     pub async fn start_with_descriptor_limit(workers: usize, others: &[SocketAddr], sockets: u32) -> Harness {
-        Harness::start_configured(workers, others, sockets, "").await
+        Harness::start_configured(workers, others, json!({"sockets": sockets}), "").await
     }
 
     /// Starts a daemon as [`Harness::start`] does; `faults` selects system calls of the daemon that fail, as
     /// for [`daemon_command_with_faults`].
     pub async fn start_with_faults(workers: usize, faults: &str) -> Harness {
-        Harness::start_configured(workers, &[], DESCRIPTOR_LIMIT, faults).await
+        Harness::start_configured(workers, &[], json!({"sockets": DESCRIPTOR_LIMIT}), faults).await
     }
 
-    async fn start_configured(workers: usize, others: &[SocketAddr], sockets: u32, faults: &str) -> Harness {
+    /// Starts a daemon as [`Harness::start`] does, with `limits` as the section `limits` of its configuration.
+    pub async fn start_with_limits(workers: usize, limits: Value) -> Harness {
+        Harness::start_configured(workers, &[], limits, "").await
+    }
+
+    async fn start_configured(workers: usize, others: &[SocketAddr], limits: Value, faults: &str) -> Harness {
         let listener = || async { TcpListener::bind("127.0.0.1:0").await.expect("a free port") };
         let discovery = listener().await;
         let mut listeners = Vec::new();
@@ -341,7 +346,7 @@
         let instances: Vec<Value> = addresses.map(|(n, address)| instance(n, address, "up")).collect();
         let folder = tempfile::tempdir().expect("a folder");
         let mut config = daemon_config(discovery.local_addr().unwrap(), instances.clone().into());
-        config["limits"]["sockets"] = sockets.into();
+        config["limits"] = limits;
         let mut daemon = Process::start_with_faults(&config, folder.path(), faults);
         confirm_endpoint_list(&discovery).await;
         daemon.wait_for_log("serving").await;
