--- a/crates/vetchbridge/src/clients/body.rs
+++ b/crates/vetchbridge/src/clients/body.rs
@@ -4,6 +4,8 @@
 //! rejected at once.
 
 use super::connection::ClientConnection;
+use super::connections::ClientConnections;
+use crate::memory::{MemoryOwner, MemoryReservation};
 use crate::net::collect;
 use axum::body::{Body, HttpBody};
 use axum::http::header::CONNECTION;
@@ -11,41 +13,13 @@
 use axum::response::{IntoResponse, Response};
 use bytes::Bytes;
 use std::fmt;
-use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
 /// Maximum length in bytes of the body of a job or callback.
 const MAX_BODY_BYTES: usize = 64 * 1024;
 /// How long before the time limit for a request's arrival, after which its connection is closed, a body that
 /// is still incomplete is rejected. The client thus gets a response before the close.
 const TIMEOUT_MARGIN: Duration = Duration::from_millis(200);
-/// Size in bytes of the blocks in which memory for bodies is reserved.
-const BLOCK_BYTES: usize = 1024;
-/// The memory that the daemon's process may use, divided by this number, is the memory that all bodies of one
-/// kind (jobs or callbacks) may use together.
-const MEMORY_DIVISOR: usize = 8;
-
-/// The memory for the bodies of one kind of HTTP request: jobs or callbacks.
-pub(super) struct BodyMemory {
-    blocks: Arc<Semaphore>,
-}
-
-impl BodyMemory {
-    /// Creates the memory for the bodies of one kind in a process that may use `process_bytes` of memory. At
-    /// least one body of the maximum length fits.
-    pub(super) fn new(process_bytes: usize) -> BodyMemory {
-        let bytes = (process_bytes / MEMORY_DIVISOR).clamp(MAX_BODY_BYTES, usize::MAX >> 4);
-        BodyMemory { blocks: Arc::new(Semaphore::new(bytes / BLOCK_BYTES)) }
-    }
-
-    /// Reserves memory for a body of `bytes` bytes; dropping the permit releases the memory.
-    fn reserve(&self, bytes: usize) -> Result<OwnedSemaphorePermit, BodyError> {
-        let blocks = bytes.div_ceil(BLOCK_BYTES) as u32;
-        self.blocks.clone().try_acquire_many_owned(blocks).map_err(|_| BodyError::NoMemory)
-    }
-}
-
 /// Why the body of a request was not read. The connection closes after the error response, since the rest of
 /// the body may still arrive.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -91,22 +65,24 @@
 }
 
 /// Reads the whole body of a request, and marks the client connection as awaiting the response. Returns the
-/// body, and the permit for its memory; the memory is released when the permit is dropped.
+/// body, and the reservation of the memory for the request of this owner.
 pub(super) async fn read(
     body: Body,
     connection: &ClientConnection,
-    memory: &BodyMemory,
-) -> Result<(Bytes, OwnedSemaphorePermit), BodyError> {
+    connections: &ClientConnections,
+    owner: MemoryOwner,
+) -> Result<(Bytes, MemoryReservation), BodyError> {
     let size_hint = body.size_hint();
     if size_hint.lower() > MAX_BODY_BYTES as u64 {
         return Err(BodyError::TooLong);
     }
-    let permit = memory.reserve(size_hint.exact().map_or(MAX_BODY_BYTES, |bytes| bytes as usize))?;
+    let bytes = size_hint.exact().map_or(MAX_BODY_BYTES, |bytes| bytes as usize);
+    connections.reserve_body(connection, owner, bytes).map_err(|_| BodyError::NoMemory)?;
     let deadline = connection.request_arrival_deadline() - TIMEOUT_MARGIN;
     match tokio::time::timeout_at(deadline, collect(body, MAX_BODY_BYTES)).await {
         Ok(Ok(body)) => {
             connection.mark_awaiting_response();
-            Ok((body, permit))
+            Ok((body, connection.take_body_memory()))
         }
         Ok(Err(_)) => Err(BodyError::TooLong),
         Err(_) => Err(BodyError::Timeout),
--- a/crates/vetchbridge/src/clients/connection/mod.rs
+++ b/crates/vetchbridge/src/clients/connection/mod.rs
@@ -1,18 +1,24 @@
 //! One client connection: its state, its time limits, its rank in the eviction order, and how it is closed.
 //!
-//! A connection can't be evicted while it receives a callback, awaits a response or sends one.
+//! A connection can't be evicted while it awaits a response or sends one, and while it receives a callback only
+//! for its memory.
 
 mod lingering_close;
+mod memory;
 mod request_stream;
 mod state;
 mod time_limits;
 
 pub(super) use lingering_close::lingering_close;
+pub(super) use memory::CONNECTION_BYTES;
 pub(super) use request_stream::RequestStream;
 pub(super) use state::CloseReason;
 
 use super::eviction::{ConnectionId, EvictionOrder};
+use super::framing::MAX_HEAD_BYTES;
 use super::lock_ignoring_poison;
+use crate::memory::{MemoryBudget, MemoryExhausted, MemoryOwner, MemoryReservation};
+use memory::{ConnectionMemory, INCLUDED_INPUT_BYTES};
 use state::{ConnectionState, Phase};
 use std::sync::{Arc, Mutex};
 use time_limits::REQUEST_TIMEOUT;
@@ -34,9 +40,14 @@
 
 impl ClientConnection {
     /// Creates the state of a client connection that has just been accepted. The id must be unique within the
-    /// eviction order.
-    pub(super) fn new(id: ConnectionId, eviction_order: Arc<Mutex<EvictionOrder>>) -> ClientConnection {
-        let state = ConnectionState::new(Instant::now());
+    /// eviction order. `reservation` holds [`CONNECTION_BYTES`] bytes of the budget.
+    pub(super) fn new(
+        id: ConnectionId,
+        eviction_order: Arc<Mutex<EvictionOrder>>,
+        reservation: MemoryReservation,
+        budget: &MemoryBudget,
+    ) -> ClientConnection {
+        let state = ConnectionState::new(Instant::now(), ConnectionMemory::new(reservation, budget));
         lock_ignoring_poison(&eviction_order).update(id, None, state.eviction_rank());
         ClientConnection {
             id,
@@ -77,12 +88,71 @@
         self.close_check.notify_one();
     }
 
-    /// Chooses the connection for eviction. A request that awaits its response is still answered.
+    /// Chooses the connection for eviction. A request that awaits its response is still answered. The memory of
+    /// the connection counts as free from now on, as its descriptor does.
     pub(super) fn evict(&self) {
-        self.update(|state| state.evicted_in_phase = Some(state.phase));
+        self.update(|state| {
+            state.evicted_in_phase = Some(state.phase);
+            state.memory.release();
+        });
         self.trigger_close_check();
     }
 
+    /// Reserves memory for the buffers of the HTTP server.
+    pub(super) fn try_reserve_http_buffers(&self) -> Result<(), MemoryExhausted> {
+        lock_ignoring_poison(&self.state).memory.try_reserve_http_buffers()
+    }
+
+    /// Holds memory for the buffers of the HTTP server, also if too little is free.
+    pub(super) fn hold_http_buffers(&self) {
+        lock_ignoring_poison(&self.state).memory.hold_http_buffers();
+    }
+
+    /// Whether memory is free for the longest head, or the next input is not a head.
+    fn has_room_for_head(&self) -> bool {
+        let state = &*lock_ignoring_poison(&self.state);
+        !state.framing.is_at_head() || state.memory.has_room_for_input(MAX_HEAD_BYTES)
+    }
+
+    /// Whether the connection may read `input`, the next part of a head, while no memory is free for more than
+    /// a short head: the head ends in this part, or remains short.
+    fn may_read_head(&self, input: &[u8]) -> bool {
+        let state = &*lock_ignoring_poison(&self.state);
+        state.held_input_bytes() + input.len() <= INCLUDED_INPUT_BYTES || state.framing.ends_head(input)
+    }
+
+    /// Counts the memory for the input that is held beside the body of the current request. Pipelined input for
+    /// which no memory is free is dropped, if the current response can still announce that the connection
+    /// closes.
+    fn count_input(&self) {
+        let state = &mut *lock_ignoring_poison(&self.state);
+        let is_refused = state.memory.try_reserve_input(state.held_input_bytes()).is_err();
+        if is_refused && !state.framing.is_in_head() {
+            state.drop_pipelined_input();
+        }
+        state.memory.hold_input(state.held_input_bytes());
+    }
+
+    /// Reserves memory for the request of `owner` that is being received, with `bytes` bytes of its body.
+    pub(super) fn try_reserve_body(&self, owner: MemoryOwner, bytes: usize) -> Result<(), MemoryExhausted> {
+        lock_ignoring_poison(&self.state).memory.try_reserve_body(owner, bytes)
+    }
+
+    /// Returns the reservation for the request whose body has arrived.
+    pub(super) fn take_body_memory(&self) -> MemoryReservation {
+        lock_ignoring_poison(&self.state).memory.take_body()
+    }
+
+    /// Whether a part of a request's head has arrived, but not all of it.
+    fn is_in_head(&self) -> bool {
+        lock_ignoring_poison(&self.state).framing.is_in_head()
+    }
+
+    /// Takes the start of the current request's head that arrived before the rest of the head.
+    fn take_withheld(&self) -> Vec<u8> {
+        lock_ignoring_poison(&self.state).framing.take_withheld()
+    }
+
     /// Resolves when the connection is between requests: no request is in progress, and no byte of the next
     /// request has been read.
     pub(super) async fn wait_until_between_requests(&self) {
@@ -144,11 +214,13 @@
         self.update(|state| state.phase = Phase::AwaitingResponse);
     }
 
-    /// Records that the response to the current request is ready and that its sending starts.
-    pub(super) fn mark_sending_response(&self) {
+    /// Records that the response to the current request is ready, with a body of this length, and that its
+    /// sending starts.
+    pub(super) fn mark_sending_response(&self, body_bytes: usize) {
         self.update(|state| {
             state.enter(Phase::SendingResponse, Instant::now());
             state.response_count += 1;
+            state.memory.hold_response(body_bytes);
         });
     }
 
--- a/crates/vetchbridge/src/clients/connection/state.rs
+++ b/crates/vetchbridge/src/clients/connection/state.rs
@@ -3,6 +3,7 @@
 
 use super::super::eviction::{EvictionGroup, EvictionRank};
 use super::super::framing::{RequestFraming, MAX_HEAD_BYTES};
+use super::memory::ConnectionMemory;
 use super::time_limits::RESPONSE_SEND_TIME;
 use std::fmt;
 use tokio::io::ReadBuf;
@@ -29,7 +30,7 @@
 /// Why the daemon closes a client connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum CloseReason {
-    /// Another connection needs the file descriptor of this client connection.
+    /// The file descriptor or the memory of this client connection is needed.
     Evicted,
     /// The client has not read the response in time.
     ResponseTimeout,
@@ -78,11 +79,12 @@
     /// Whether the client has sent more pipelined input than this state can hold. If so, the connection
     /// closes after the current response.
     pipelined_overflow: bool,
+    pub(super) memory: ConnectionMemory,
 }
 
 impl ConnectionState {
     /// Creates the state of a connection that has just been accepted.
-    pub(super) fn new(now: Instant) -> ConnectionState {
+    pub(super) fn new(now: Instant, memory: ConnectionMemory) -> ConnectionState {
         ConnectionState {
             phase: Phase::New,
             phase_started_at: now,
@@ -92,6 +94,7 @@
             is_request_complete: false,
             pipelined_input: Vec::new(),
             pipelined_overflow: false,
+            memory,
         }
     }
 
@@ -113,11 +116,12 @@
         let group = match self.phase {
             Phase::Lingering => EvictionGroup::Lingering,
             Phase::New => EvictionGroup::New,
-            Phase::ReceivingRequest if !self.framing.is_callback => EvictionGroup::ReceivingRequest,
+            Phase::ReceivingRequest if self.framing.is_callback => EvictionGroup::ReceivingCallback,
+            Phase::ReceivingRequest => EvictionGroup::ReceivingRequest,
             Phase::Idle if self.framing.is_callback => EvictionGroup::IdleCallback,
             Phase::Idle if self.response_count <= 1 => EvictionGroup::IdleAfterOneResponse,
             Phase::Idle => EvictionGroup::IdleKeepAlive,
-            Phase::ReceivingRequest | Phase::AwaitingResponse | Phase::SendingResponse => return None,
+            Phase::AwaitingResponse | Phase::SendingResponse => return None,
         };
         Some(EvictionRank { group, since: self.phase_started_at })
     }
@@ -144,16 +148,33 @@
         !self.pipelined_input.is_empty()
     }
 
-    /// Moves pipelined input that this state holds into `buffer`, at most to the end of one request.
+    /// Moves pipelined input that this state holds into `buffer`, at most to the end of one request. An
+    /// incomplete head is withheld.
     pub(super) fn read_pipelined_input(&mut self, buffer: &mut ReadBuf<'_>, now: Instant) {
         let mut pipelined = std::mem::take(&mut self.pipelined_input);
         let available = pipelined.len().min(buffer.remaining());
         let length = self.record_received(&pipelined[..available], now);
-        buffer.put_slice(&pipelined[..length]);
+        if !self.framing.is_in_head() {
+            buffer.put_slice(&pipelined[..length]);
+        }
         pipelined.drain(..length);
         self.pipelined_input = pipelined;
     }
 
+    /// Returns the number of bytes of memory that are held for input beside the body of the current request.
+    pub(super) fn held_input_bytes(&self) -> usize {
+        self.framing.held_bytes() + self.pipelined_input.capacity()
+    }
+
+    /// Drops pipelined input for which no memory is free, unless the head of the response has been written
+    /// already: the response then can't announce any more that the connection closes.
+    pub(super) fn drop_pipelined_input(&mut self) {
+        if self.phase != Phase::SendingResponse {
+            self.pipelined_overflow = true;
+            self.pipelined_input = Vec::new();
+        }
+    }
+
     /// Whether more pipelined input may be read from the client's socket.
     pub(super) fn accepts_pipelined_input(&self) -> bool {
         // Once the head of the response is written, the response can't announce any more that the connection
@@ -179,6 +200,7 @@
         let is_idle = self.framing.is_between_requests() && !has_pipelined_input;
         self.enter(if is_idle { Phase::Idle } else { Phase::ReceivingRequest }, now);
         self.is_request_complete = false;
+        self.memory.hold_response(0);
         ResponseSent { has_pipelined_input, is_evicted: self.is_evicted() }
     }
 
@@ -189,6 +211,8 @@
         self.enter(Phase::Lingering, now);
         self.evicted_in_phase = None;
         self.pipelined_input = Vec::new();
+        self.framing = RequestFraming::new();
+        self.memory.start_lingering();
     }
 
     /// Whether the daemon closes the client connection after the current response.
--- a/crates/vetchbridge/src/clients/connections.rs
+++ b/crates/vetchbridge/src/clients/connections.rs
@@ -1,17 +1,20 @@
 //! All client connections of the process, including the connections on which workers send callbacks.
 //!
-//! This module admits new connections within the descriptor budget, evicts other connections to make room for
-//! them, and closes connections that exceed their time limits. A connection that must not be evicted is never
+//! This module admits new connections within the descriptor budget and the memory budget, evicts other
+//! connections to make room for them and for their requests, and closes connections that exceed their time
+//! limits. A connection that must not be evicted is never
 //! closed to make room for another connection.
 
 use super::budget::{DescriptorBudget, OtherProcesses};
-use super::connection::ClientConnection;
+use super::connection::{ClientConnection, CONNECTION_BYTES};
 use super::eviction::{ConnectionId, EvictionOrder, NewConnections};
 use super::lock_ignoring_poison;
+use crate::memory::{MemoryBudget, MemoryExhausted, MemoryOwner};
 use crate::workers::{ConnectionCount, ConnectionGuard};
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
 use tokio::time::Instant;
+use tracing::debug;
 
 /// The open client connections, and the order in which they are evicted.
 #[derive(Default)]
@@ -35,11 +38,21 @@
         connection.evict();
         true
     }
+
+    /// Evicts the next connection for memory that `owner` needs; returns `false` if no connection can be evicted.
+    fn evict_for_memory(&self, owner: MemoryOwner, now: Instant) -> bool {
+        let next = lock_ignoring_poison(&self.eviction_order).next_to_evict_for_memory(now);
+        let Some(connection) = next.and_then(|id| self.open.get(&id)) else { return false };
+        debug!(?owner, connection = next, "connection.evicted_for_memory");
+        connection.evict();
+        true
+    }
 }
 
-/// The client connections of the process, and the descriptor budget that limits their number.
+/// The client connections of the process, and the budgets that limit their number and their memory.
 pub(super) struct ClientConnections {
     budget: DescriptorBudget,
+    memory: MemoryBudget,
     table: Mutex<ConnectionTable>,
     /// The number of callback connections that are open beyond the clients' share of the descriptor budget.
     extra_callbacks: ConnectionCount,
@@ -60,9 +73,58 @@
 }
 
 impl ClientConnections {
-    /// Creates an empty set of client connections that is limited by this descriptor budget.
-    pub(super) fn new(budget: DescriptorBudget) -> ClientConnections {
-        ClientConnections { budget, table: Mutex::default(), extra_callbacks: ConnectionCount::default() }
+    /// Creates an empty set of client connections that is limited by these budgets.
+    pub(super) fn new(budget: DescriptorBudget, memory: MemoryBudget) -> ClientConnections {
+        ClientConnections {
+            budget,
+            memory,
+            table: Mutex::default(),
+            extra_callbacks: ConnectionCount::default(),
+        }
+    }
+
+    /// Reserves memory for `owner` with `try_reserve`, and evicts connections until that succeeds or no
+    /// connection can be evicted.
+    fn reserve(
+        &self,
+        owner: MemoryOwner,
+        mut try_reserve: impl FnMut() -> Result<(), MemoryExhausted>,
+    ) -> Result<(), MemoryExhausted> {
+        while let Err(error) = try_reserve() {
+            if !lock_ignoring_poison(&self.table).evict_for_memory(owner, Instant::now()) {
+                debug!(?owner, "memory.exhausted");
+                return Err(error);
+            }
+        }
+        Ok(())
+    }
+
+    /// Reserves memory for the buffers of the HTTP server on a connection. The memory is held even if too
+    /// little is free, since the request that has begun to arrive must get a response.
+    pub(super) fn reserve_http_buffers(&self, connection: &ClientConnection) {
+        if self.reserve(MemoryOwner::ClientConnections, || connection.try_reserve_http_buffers()).is_err() {
+            connection.hold_http_buffers();
+        }
+    }
+
+    /// Reserves memory for the request that is being received on a connection, with `bytes` bytes of its body.
+    pub(super) fn reserve_body(
+        &self,
+        connection: &ClientConnection,
+        owner: MemoryOwner,
+        bytes: usize,
+    ) -> Result<(), MemoryExhausted> {
+        self.reserve(owner, || connection.try_reserve_body(owner, bytes))
+    }
+
+    /// Returns the connection of a callback beyond the clients' share of the descriptor budget. It can't be
+    /// evicted, and its response closes it.
+    pub(super) fn extra_callback_connection(&self) -> Arc<ClientConnection> {
+        let reservation = self.memory.reservation(MemoryOwner::ClientConnections);
+        let connection = Arc::new(ClientConnection::new(0, Arc::default(), reservation, &self.memory));
+        connection.evict();
+        connection.hold_http_buffers();
+        connection
     }
 
     /// Returns the number of open client connections.
@@ -87,8 +149,8 @@
         order.next_new_connection_evictable_at(now).filter(|_| !order.can_evict(excess, now))
     }
 
-    /// Admits a new client connection. Evicts other connections if the descriptor budget is used up; returns
-    /// `None` if too few connections can be evicted.
+    /// Admits a new client connection. Evicts other connections if the descriptor budget or the memory budget
+    /// is used up; returns `None` if too few connections can be evicted.
     pub(super) fn admit(&self, others: OtherProcesses) -> Option<ConnectionSlot<'_>> {
         let table = &mut *lock_ignoring_poison(&self.table);
         // One eviction may not be enough: a connection that was evicted earlier counts again while it lingers
@@ -98,9 +160,17 @@
                 return None;
             }
         }
+        let owner = MemoryOwner::ClientConnections;
+        let mut reservation = self.memory.reservation(owner);
+        while reservation.try_resize(CONNECTION_BYTES).is_err() {
+            if !table.evict_for_memory(owner, Instant::now()) {
+                return None;
+            }
+        }
         table.last_id += 1;
         let id = table.last_id;
-        let connection = Arc::new(ClientConnection::new(id, table.eviction_order.clone()));
+        let connection = ClientConnection::new(id, table.eviction_order.clone(), reservation, &self.memory);
+        let connection = Arc::new(connection);
         table.open.insert(id, connection.clone());
         Some(ConnectionSlot { connections: self, id, connection })
     }
--- a/crates/vetchbridge/src/clients/connections/tests.rs
+++ b/crates/vetchbridge/src/clients/connections/tests.rs
@@ -21,7 +21,7 @@
     for (slot, responses) in [(kept_alive, 2), (one_response, 1)] {
         for _ in 0..responses {
             slot.connection.record_received(b"GET / HTTP/1.1\r\n\r\n");
-            slot.connection.mark_sending_response();
+            slot.connection.mark_sending_response(0);
             slot.connection.record_flush();
         }
     }
@@ -94,7 +94,7 @@
     let forced_close = evicted.wait_for_forced_close();
     tokio::pin!(forced_close);
     assert!(futures_util::poll!(forced_close.as_mut()).is_pending() && evicted.closes_after_response());
-    evicted.mark_sending_response();
+    evicted.mark_sending_response(0);
     evicted.record_flush();
     forced_close.await;
 }
@@ -129,10 +129,12 @@
     assert_eq!(lock_ignoring_poison(&connections.table).non_evicted_count(), 6);
 }
 
+/// Memory limit of the process in bytes; more than these tests need.
+const MEMORY_LIMIT: usize = 192 << 20;
 const NO_OTHER_PROCESSES: OtherProcesses = OtherProcesses { count: 0, client_connections: 0 };
 
 fn connections_with_limit(limit: usize, reserved: usize, workers: ConnectionCount) -> ClientConnections {
-    ClientConnections::new(DescriptorBudget::new(limit, reserved, workers))
+    ClientConnections::new(DescriptorBudget::new(limit, reserved, workers), MemoryBudget::new(MEMORY_LIMIT))
 }
 
 /// Returns an empty set of client connections with room for six connections, a quarter of the descriptor
--- a/crates/vetchbridge/src/clients/eviction.rs
+++ b/crates/vetchbridge/src/clients/eviction.rs
@@ -1,4 +1,5 @@
-//! The order in which client connections are evicted when another connection needs a descriptor.
+//! The order in which client connections are evicted when another connection needs a descriptor, or when
+//! memory is needed.
 //!
 //! The eviction order is updated whenever a connection changes its state, so that the cost of an eviction
 //! does not grow with the number of connections. Connections are divided into groups, which are evicted one
@@ -18,7 +19,7 @@
 /// has had no time to send anything.
 const MIN_AGE_FOR_NEW_CONNECTION: Duration = Duration::from_millis(10);
 
-/// The groups of connections, in the order in which the groups are evicted.
+/// The groups of connections, in the order in which the groups are evicted for their descriptors.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum EvictionGroup {
     /// The daemon has closed its side of the connection after the last response; the client has not closed
@@ -36,11 +37,13 @@
     /// The connection of a worker is idle between callbacks. Such a connection is needed more than a client's
     /// connection, since the client can connect again.
     IdleCallback,
+    /// A part of a callback has arrived. Such a connection is evicted only for its memory.
+    ReceivingCallback,
 }
 
 impl EvictionGroup {
     /// The number of groups.
-    const COUNT: usize = 6;
+    const COUNT: usize = 7;
 
     /// The groups whose connections may be evicted however short the time in their state is.
     const AT_ANY_AGE: [EvictionGroup; 4] = [
@@ -125,6 +128,17 @@
             .or_else(new_connection)
     }
 
+    /// Returns the connection to evict next for its memory; `None` if no connection can be evicted. Input that
+    /// has been incomplete for longest is lost first, since its client is the least likely to complete it.
+    pub(super) fn next_to_evict_for_memory(&self, now: Instant) -> Option<ConnectionId> {
+        self.oldest(EvictionGroup::ReceivingRequest, MIN_AGE, now)
+            .or_else(|| self.oldest(EvictionGroup::ReceivingCallback, MIN_AGE, now))
+            .or_else(|| self.oldest(EvictionGroup::New, MIN_AGE, now))
+            .or_else(|| self.oldest(EvictionGroup::IdleAfterOneResponse, Duration::ZERO, now))
+            .or_else(|| self.oldest(EvictionGroup::IdleKeepAlive, Duration::ZERO, now))
+            .or_else(|| self.oldest(EvictionGroup::IdleCallback, Duration::ZERO, now))
+    }
+
     /// Whether at least `count` connections can be evicted at time `now` to make room for new connections.
     pub(super) fn can_evict(&self, count: usize, now: Instant) -> bool {
         let at_any_age: usize = EvictionGroup::AT_ANY_AGE.iter().map(|group| self.group(*group).len()).sum();
--- a/crates/vetchbridge/src/clients/eviction/tests.rs
+++ b/crates/vetchbridge/src/clients/eviction/tests.rs
@@ -10,6 +10,7 @@
     EvictionGroup::IdleAfterOneResponse,
     EvictionGroup::IdleKeepAlive,
     EvictionGroup::IdleCallback,
+    EvictionGroup::ReceivingCallback,
 ];
 
 fn order_of(ranks: &[EvictionRank]) -> EvictionOrder {
@@ -38,6 +39,31 @@
     assert_eq!(evicted, [2, 1, 4, 3, 6, 5, 8, 7, 10, 9, 12, 11]);
 }
 
+/// Input that can be sent again is lost before idle connections, unless it has begun to arrive only now.
+#[test]
+fn incomplete_requests_are_evicted_for_memory_before_idle_connections() {
+    let since = Instant::now();
+    let ranks: Vec<EvictionRank> =
+        GROUPS.iter().rev().map(|group| EvictionRank { group: *group, since }).collect();
+    let evicted_at = |now| {
+        let mut order = order_of(&ranks);
+        let mut evicted = Vec::new();
+        while let Some(id) = order.next_to_evict_for_memory(now) {
+            let rank = ranks[id as usize - 1];
+            order.update(id, Some(rank), None);
+            evicted.push(rank.group);
+        }
+        evicted
+    };
+    let (receiving, callback) = (EvictionGroup::ReceivingRequest, EvictionGroup::ReceivingCallback);
+    let idle =
+        [EvictionGroup::IdleAfterOneResponse, EvictionGroup::IdleKeepAlive, EvictionGroup::IdleCallback];
+    let [one_response, kept_alive, idle_callback] = idle;
+    let all = [receiving, callback, EvictionGroup::New, one_response, kept_alive, idle_callback];
+    assert_eq!(evicted_at(since + MIN_AGE), all);
+    assert_eq!(evicted_at(since), idle);
+}
+
 #[test]
 fn a_young_connection_is_evicted_only_for_another_new_connection() {
     let since = Instant::now();
--- a/crates/vetchbridge/src/clients/framing.rs
+++ b/crates/vetchbridge/src/clients/framing.rs
@@ -7,11 +7,12 @@
 use super::chunked_body::{ChunkedBody, Progress};
 use super::protocol::{CALLBACK_PATH, CALLBACK_REQUEST_LINE};
 
-/// Maximum length of a request's head in bytes. This is also the size of hyper's read buffer, which bounds
-/// the memory of a client connection.
+/// Maximum length of a request's head in bytes. This is also the size of hyper's read buffer.
 pub(super) const MAX_HEAD_BYTES: usize = 8 * 1024;
 /// Maximum number of header lines of a request; equal to hyper's default.
 const MAX_HEADERS: usize = 100;
+/// Size in bytes of the steps in which the buffer for an incomplete head grows.
+const HEAD_GROWTH_BYTES: usize = 1024;
 
 /// A position in the byte stream that a client sends on one connection.
 #[derive(Debug, PartialEq, Eq)]
@@ -34,6 +35,9 @@
 #[derive(Debug)]
 pub(super) struct RequestFraming {
     position: Position,
+    /// The start of the current request's head, which arrived before the rest of the head and has not been
+    /// taken since. hyper gets the head only when it is complete.
+    withheld: Vec<u8>,
     /// Whether any request on the connection had both a `Content-Length` and a `Transfer-Encoding`, so that
     /// its body may conceal another request.
     pub(super) is_ambiguous: bool,
@@ -44,7 +48,12 @@
 impl RequestFraming {
     /// Creates the framing of a client connection on which no byte has arrived.
     pub(super) fn new() -> RequestFraming {
-        RequestFraming { position: Position::Head(Vec::new()), is_ambiguous: false, is_callback: false }
+        RequestFraming {
+            position: Position::Head(Vec::new()),
+            withheld: Vec::new(),
+            is_ambiguous: false,
+            is_callback: false,
+        }
     }
 
     /// Whether the last byte of the current request has arrived.
@@ -63,6 +72,36 @@
         matches!(&self.position, Position::Head(head) if head.is_empty())
     }
 
+    /// Whether a part of a request's head has arrived, but not all of it.
+    pub(super) fn is_in_head(&self) -> bool {
+        matches!(&self.position, Position::Head(head) if !head.is_empty())
+    }
+
+    /// Whether the next byte belongs to a request's head.
+    pub(super) fn is_at_head(&self) -> bool {
+        matches!(self.position, Position::Head(_))
+    }
+
+    /// Whether a request's head ends in `input`, the next received bytes, or can't be a head.
+    pub(super) fn ends_head(&self, input: &[u8]) -> bool {
+        let Position::Head(head) = &self.position else { return true };
+        !matches!(parse_head(&[head, input].concat()), ParsedHead::Incomplete)
+    }
+
+    /// Takes the start of the current request's head that arrived before the rest of the head; empty if the
+    /// head is incomplete, if it arrived at once, or if its start has been taken before.
+    pub(super) fn take_withheld(&mut self) -> Vec<u8> {
+        std::mem::take(&mut self.withheld)
+    }
+
+    /// Returns the number of bytes of memory that are held for an incomplete head.
+    pub(super) fn held_bytes(&self) -> usize {
+        match &self.position {
+            Position::Head(head) => head.capacity(),
+            _ => 0,
+        }
+    }
+
     /// Advances the position in the client's byte stream over received bytes, at most to the end of the
     /// current request. Returns how many of the bytes belong to the current request; the other bytes belong
     /// to the next request.
@@ -112,25 +151,50 @@
     fn advance_head(&mut self, bytes: &[u8]) -> usize {
         let Position::Head(head) = &mut self.position else { return 0 };
         let already_received = head.len();
-        head.extend_from_slice(bytes);
-        match parse_head(head) {
+        let parsed = if already_received == 0 {
+            parse_head(bytes)
+        } else {
+            append(head, bytes);
+            parse_head(head)
+        };
+        match parsed {
             ParsedHead::Incomplete => {
+                if already_received == 0 {
+                    append(head, bytes);
+                }
                 self.is_callback = head.starts_with(CALLBACK_REQUEST_LINE.trim_ascii_end());
                 bytes.len()
             }
             ParsedHead::Complete { length, is_callback, is_ambiguous, next } => {
                 self.is_callback = is_callback;
                 self.is_ambiguous |= is_ambiguous;
-                self.position = next;
+                self.end_head(already_received, next);
                 length - already_received
             }
             // hyper responds to an invalid head itself and closes the connection.
             ParsedHead::Invalid => {
-                self.position = Position::Untracked;
+                self.end_head(already_received, Position::Untracked);
                 bytes.len()
             }
         }
     }
+
+    /// Leaves a request's head, and keeps its first `withheld` bytes until they are taken.
+    fn end_head(&mut self, withheld: usize, next: Position) {
+        if let Position::Head(mut head) = std::mem::replace(&mut self.position, next) {
+            head.truncate(withheld);
+            self.withheld = head;
+        }
+    }
+}
+
+/// Appends received bytes to the buffer of an incomplete head.
+fn append(head: &mut Vec<u8>, bytes: &[u8]) {
+    let length = head.len() + bytes.len();
+    if length > head.capacity() {
+        head.reserve_exact(length.next_multiple_of(HEAD_GROWTH_BYTES) - head.len());
+    }
+    head.extend_from_slice(bytes);
 }
 
 /// The result of parsing the part of a request's head that has arrived.
@@ -157,7 +221,7 @@
     let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut request = httparse::Request::new(&mut headers);
     match request.parse(head) {
-        Ok(httparse::Status::Partial) if head.len() <= MAX_HEAD_BYTES => ParsedHead::Incomplete,
+        Ok(httparse::Status::Partial) if head.len() < MAX_HEAD_BYTES => ParsedHead::Incomplete,
         Ok(httparse::Status::Complete(length)) => {
             let is_callback = request.path == Some(CALLBACK_PATH);
             let content_length = header(request.headers, "content-length");
--- a/crates/vetchbridge/src/clients/handler.rs
+++ b/crates/vetchbridge/src/clients/handler.rs
@@ -8,10 +8,11 @@
 use super::job::{self, MalformedRequest};
 use super::protocol::{CALLBACK_PATH, READINESS_PATH};
 use super::server::ClientServer;
+use crate::memory::MemoryOwner;
 use crate::request::{submit, Answer};
 use crate::upgrade::process_links::ForwardOutcome;
 use crate::workers::Callback;
-use axum::body::Body;
+use axum::body::{Body, HttpBody};
 use axum::extract::{Extension, Request as HttpRequest, State};
 use axum::http::header::{CONNECTION, RETRY_AFTER};
 use axum::http::{HeaderValue, Method, StatusCode};
@@ -48,7 +49,8 @@
             request.extensions_mut().insert(connection.clone());
             router.call(request.map(Body::new)).await?
         };
-        connection.mark_sending_response();
+        let body_bytes = response.body().size_hint().lower();
+        connection.mark_sending_response(usize::try_from(body_bytes).unwrap_or(usize::MAX));
         let keeps_alive =
             self.process_links.has_successor() || !self.lifecycle.state().closes_after_response();
         if !keeps_alive || connection.closes_after_response() {
@@ -74,7 +76,8 @@
     Extension(connection): Extension<Arc<ClientConnection>>,
     request: HttpRequest,
 ) -> Response {
-    let (body, _memory) = match body::read(request.into_body(), &connection, &server.callback_memory).await {
+    let read = body::read(request.into_body(), &connection, &server.connections, MemoryOwner::Callbacks);
+    let (body, _memory) = match read.await {
         Ok(read) => read,
         Err(error) => return reject_body(error),
     };
@@ -115,7 +118,8 @@
         return (StatusCode::METHOD_NOT_ALLOWED, "jobs arrive by POST\n").into_response();
     }
     let (parts, body) = request.into_parts();
-    let (body, memory) = match body::read(body, &connection, &server.job_memory).await {
+    let read = body::read(body, &connection, &server.connections, MemoryOwner::Jobs);
+    let (body, memory) = match read.await {
         Ok(read) => read,
         Err(error) => return reject_body(error),
     };
--- a/crates/vetchbridge/src/clients/job.rs
+++ b/crates/vetchbridge/src/clients/job.rs
@@ -6,6 +6,7 @@
     is_slots_property, CLASS, EXPECTED_WORK, HOST, IDEMPOTENCY_KEY, PROPERTIES, REQUEST_ID, RETRY, TENANT,
     TIMEOUT,
 };
+use crate::memory::MemoryReservation;
 use crate::request::SubmittedRequest;
 use crate::snapshot::SettingsSnapshot;
 use crate::workers::{parse_request_id, Payload};
@@ -14,7 +15,6 @@
 use axum::http::{HeaderMap, HeaderValue, Uri};
 use bytes::Bytes;
 use std::sync::Arc;
-use tokio::sync::OwnedSemaphorePermit;
 use vetchbridge_scheduling::{Class, ClassId, Idempotency, Micros, Request};
 
 /// Why a client's request is malformed. The text of this error is the body of the error response.
@@ -53,12 +53,12 @@
 }
 
 /// Reads a request to run a job. `now` is the time when the last byte of the request arrived, in microseconds
-/// of the engine's clock; the request's deadline counts from `now`. The request holds `body_permit` until the
-/// request ends.
+/// of the engine's clock; the request's deadline counts from `now`. The request holds `memory` until the request
+/// ends.
 pub(super) fn read(
     parts: &Parts,
     body: Bytes,
-    body_permit: OwnedSemaphorePermit,
+    memory: MemoryReservation,
     settings: Arc<SettingsSnapshot>,
     now: Micros,
 ) -> Result<SubmittedRequest, MalformedRequest> {
@@ -87,7 +87,7 @@
         retry: single_header(headers, RETRY)? == Some("1"),
     };
     let payload = Payload { id: id_text.to_string(), target: target.clone(), idempotency_key, body };
-    Ok(SubmittedRequest { request, payload, settings, body_permit: Some(body_permit) })
+    Ok(SubmittedRequest { request, payload, settings, memory: Some(memory) })
 }
 
 /// Returns the value of a request header that must not be repeated; `None` if the header is absent.
--- a/crates/vetchbridge/src/clients/job/tests.rs
+++ b/crates/vetchbridge/src/clients/job/tests.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 use crate::config::read_text;
-use tokio::sync::Semaphore;
+use crate::memory::{MemoryBudget, MemoryOwner};
 
 const NOW: Micros = 1_000_000;
 
@@ -29,7 +29,7 @@
         let name: hyper::header::HeaderName = name.parse().expect("a name");
         request.headers_mut().append(name, HeaderValue::from_bytes(value).expect("a value"));
     }
-    let memory = Arc::new(Semaphore::new(1)).try_acquire_owned().expect("memory");
+    let memory = MemoryBudget::new(0).reservation(MemoryOwner::Jobs);
     read(&request.into_parts().0, Bytes::new(), memory, settings.clone(), NOW)
 }
 
--- a/crates/vetchbridge/src/clients/server.rs
+++ b/crates/vetchbridge/src/clients/server.rs
@@ -1,7 +1,6 @@
 //! Accepts client connections from the listener and from other processes of this scheduler, and owns the
 //! state that the connections share.
 
-use super::body::BodyMemory;
 use super::budget::{DescriptorBudget, OtherProcesses};
 use super::connections::ClientConnections;
 use super::handler;
@@ -9,6 +8,7 @@
 use crate::admin;
 use crate::engine::Engine;
 use crate::lifecycle::clock::Lifecycle;
+use crate::memory::{MemoryBudget, OtherMemoryUse};
 use crate::snapshot::CurrentSettings;
 use crate::upgrade::process_links::ProcessLinks;
 use crate::workers::UpstreamGroup;
@@ -24,7 +24,8 @@
 /// How long to wait after accepting a client connection failed. Responses that are sent meanwhile release
 /// descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
-/// Interval at which the time limits of client connections and the descriptor budget are enforced.
+/// Interval at which the time limits of client connections, the descriptor budget and the memory budget are
+/// enforced.
 const ENFORCEMENT_INTERVAL: Duration = Duration::from_millis(100);
 
 /// A client connection that another process of this scheduler served before this process.
@@ -63,12 +64,7 @@
     pub(super) lifecycle: Arc<Lifecycle>,
     pub(super) process_links: Arc<ProcessLinks>,
     pub(super) connections: ClientConnections,
-    /// Memory for the bodies of jobs. The request of a job holds its part of the memory until the request
-    /// ends.
-    pub(super) job_memory: BodyMemory,
-    /// Memory for the bodies of callbacks. The memory is separate from the memory for jobs, so that jobs
-    /// can't use it up.
-    pub(super) callback_memory: BodyMemory,
+    memory: MemoryBudget,
     /// The connections that other processes of this scheduler have handed over and that this process does not
     /// serve yet.
     handovers: HandoverQueue,
@@ -87,6 +83,7 @@
         process_links: Arc<ProcessLinks>,
     ) -> Arc<ClientServer> {
         let reserved_descriptors = admin::max_connections(max_descriptors);
+        let memory = MemoryBudget::new(memory_bytes);
         let budget =
             DescriptorBudget::new(max_descriptors, reserved_descriptors, upstream.connection_count());
         Arc::new(ClientServer {
@@ -95,9 +92,8 @@
             settings,
             lifecycle,
             process_links,
-            connections: ClientConnections::new(budget),
-            job_memory: BodyMemory::new(memory_bytes),
-            callback_memory: BodyMemory::new(memory_bytes),
+            connections: ClientConnections::new(budget, memory.clone()),
+            memory,
             handovers: HandoverQueue::new(),
         })
     }
@@ -181,7 +177,13 @@
 
     fn enforce_limits(&self) {
         let others = self.other_processes();
+        self.memory.set_other_use(OtherMemoryUse {
+            other_processes: others.count,
+            worker_connections: self.upstream.connection_count().get(),
+            workers: self.upstream.worker_count(),
+        });
         self.connections.enforce_limits(others);
-        self.upstream.set_max_connections(self.connections.max_worker_connections(others));
+        let max_connections = self.connections.max_worker_connections(others);
+        self.upstream.set_max_connections(max_connections.min(self.memory.max_worker_connections()));
     }
 }
--- a/crates/vetchbridge/src/clients/session.rs
+++ b/crates/vetchbridge/src/clients/session.rs
@@ -42,6 +42,8 @@
 enum ServingEnd {
     /// hyper has finished: the client has disconnected, or the last response has been sent.
     Finished(hyper::Result<()>),
+    /// The connection failed before the head of a request arrived.
+    FailedBeforeRequest(io::Error),
     /// An eviction or a time limit closes the connection.
     ClosedByLimit,
     /// No request is in progress on the connection; the successor process takes the connection over.
@@ -64,35 +66,66 @@
         if let Err(error) = stream.set_nodelay(true) {
             debug!(%error, "connection.nodelay_failed");
         }
-        let service = service_fn(|request| self.respond(request, connection, router.clone()));
-        let io = TokioIo::new(RequestStream::new(RetryingStream::new(stream), connection.clone()));
-        let mut serving = http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).serve_connection(io, service);
-        let end = tokio::select! {
-            // hyper's future is polled first, since a connection that is chosen for eviction may already have
-            // received a request, which must be answered.
+        let mut stream = RequestStream::new(RetryingStream::new(stream), connection.clone());
+        let head = tokio::select! {
+            // The input is read first, as in `serve_http`.
             biased;
-            result = Pin::new(&mut serving) => ServingEnd::Finished(result),
-            () = connection.wait_for_forced_close() => ServingEnd::ClosedByLimit,
-            () = self.wait_for_handover(connection) => ServingEnd::HandedOver,
-            () = self.wait_for_drain(connection) => ServingEnd::Drained,
+            result = stream.wait_for_head() => result.map_err(ServingEnd::FailedBeforeRequest),
+            end = self.wait_for_end(connection) => Err(end),
+        };
+        let (end, stream) = match head {
+            Ok(()) => self.serve_http(stream, connection, router).await,
+            Err(end) => (end, stream),
         };
         match end {
             ServingEnd::Finished(Ok(())) => {}
             ServingEnd::Finished(Err(error)) => debug!(%error, "connection.failed"),
+            ServingEnd::FailedBeforeRequest(error) => debug!(%error, "connection.failed"),
             ServingEnd::ClosedByLimit => {
                 debug!(reason = %connection.close_reason(), "connection.closed");
                 check_not_awaiting_response(connection);
             }
             ServingEnd::HandedOver => {
-                let socket = serving.into_parts().io.into_inner().into_socket();
-                return self.hand_over(socket, connection.is_kept_alive());
+                return self.hand_over(stream.into_socket(), connection.is_kept_alive());
             }
             ServingEnd::Drained => {
                 debug!("connection.drained");
                 check_not_awaiting_response(connection);
             }
         }
-        lingering_close(serving.into_parts().io.into_inner()).await;
+        lingering_close(stream).await;
+    }
+
+    /// Serves the requests on a connection on which a head has arrived, until the connection ends. Returns the
+    /// reason and the connection's stream.
+    async fn serve_http(
+        &self,
+        stream: RequestStream,
+        connection: &Arc<ClientConnection>,
+        router: Router,
+    ) -> (ServingEnd, RequestStream) {
+        self.connections.reserve_http_buffers(connection);
+        let service = service_fn(|request| self.respond(request, connection, router.clone()));
+        let io = TokioIo::new(stream);
+        let mut serving = http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).serve_connection(io, service);
+        let end = tokio::select! {
+            // hyper's future is polled first, since a connection that is chosen for eviction may already have
+            // received a request, which must be answered.
+            biased;
+            result = Pin::new(&mut serving) => ServingEnd::Finished(result),
+            end = self.wait_for_end(connection) => end,
+        };
+        (end, serving.into_parts().io.into_inner())
+    }
+
+    /// Resolves when this process stops serving a connection that has not ended by itself.
+    async fn wait_for_end(&self, connection: &ClientConnection) -> ServingEnd {
+        tokio::select! {
+            biased;
+            () = connection.wait_for_forced_close() => ServingEnd::ClosedByLimit,
+            () = self.wait_for_handover(connection) => ServingEnd::HandedOver,
+            () = self.wait_for_drain(connection) => ServingEnd::Drained,
+        }
     }
 
     /// Resolves when this process has a successor process and no request is in progress on the connection.
@@ -133,8 +166,7 @@
         if !timeout(CALLBACK_ARRIVAL_TIMEOUT, starts_with_callback(&stream)).await.unwrap_or(false) {
             return debug!(reason = NO_EVICTION_POSSIBLE, "connection.rejected");
         }
-        let connection = Arc::new(ClientConnection::new(0, Arc::default()));
-        connection.evict();
+        let connection = self.connections.extra_callback_connection();
         let service = service_fn(|request| self.respond(request, &connection, router.clone()));
         let io = TokioIo::new(RequestStream::new(RetryingStream::new(stream), connection.clone()));
         let mut serving = http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).serve_connection(io, service);
--- a/crates/vetchbridge/src/config/file/mod.rs
+++ b/crates/vetchbridge/src/config/file/mod.rs
@@ -125,8 +125,8 @@
     /// itself and its connections to workers do not need.
     #[schemars(range(min = 16))]
     pub sockets: u64,
-    /// Memory that the process may use. The bodies of jobs may use at most an eighth of this memory, and the
-    /// bodies of workers' callbacks another eighth.
+    /// Memory that the process may use. Connections, jobs, callbacks and the list of workers share it; while it
+    /// is short, new jobs are rejected and incomplete requests are closed.
     pub memory: Size,
 }
 
--- a/crates/vetchbridge/src/lib.rs
+++ b/crates/vetchbridge/src/lib.rs
@@ -6,7 +6,7 @@
 //! [`peers`] (the other schedulers), [`admin`] (operators), and [`upgrade`] (the predecessor or successor
 //! process of an upgrade). [`request`] carries one request from its arrival to its final answer, [`engine`]
 //! passes events to the decision module and carries out the returned actions, and [`lifecycle`] defines the
-//! states of the process from its start to its shutdown.
+//! states of the process from its start to its shutdown. [`memory`] counts what the process's memory is held for.
 
 #![deny(missing_docs)]
 
@@ -19,6 +19,7 @@
 pub mod invariants;
 pub mod lifecycle;
 pub mod logs;
+pub mod memory;
 mod net;
 pub mod peers;
 pub mod request;
--- a/crates/vetchbridge/src/net/stream.rs
+++ b/crates/vetchbridge/src/net/stream.rs
@@ -26,6 +26,20 @@
         RetryingStream(stream)
     }
 
+    /// Reads input into `buffer` and leaves it in the socket's receive buffer.
+    pub(crate) fn poll_peek(
+        &self,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            let peeked = ready!(self.0.poll_peek(cx, buffer));
+            if !is_retried(&peeked) {
+                return Poll::Ready(peeked);
+            }
+        }
+    }
+
     /// Deregisters the connection from the async runtime and returns it as the standard library's stream.
     pub(crate) fn into_std(self) -> io::Result<std::net::TcpStream> {
         self.0.into_std()
--- a/crates/vetchbridge/src/request.rs
+++ b/crates/vetchbridge/src/request.rs
@@ -8,6 +8,7 @@
 use crate::engine::{Engine, RequestCommand};
 use crate::invariants::{record_violation, Invariant};
 use crate::logs::HexRequestId;
+use crate::memory::MemoryReservation;
 use crate::snapshot::SettingsSnapshot;
 use crate::upgrade::message::HandoverMessage;
 use crate::upgrade::process_links::ProcessLinks;
@@ -18,7 +19,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc::UnboundedReceiver;
-use tokio::sync::{oneshot, OwnedSemaphorePermit};
+use tokio::sync::oneshot;
 use tracing::debug;
 use vetchbridge_scheduling::{
     AttemptNo, ClassId, Event, Idempotency, LoadReport, Micros, Outcome, Request, RequestId, WorkerId,
@@ -32,9 +33,9 @@
     pub payload: Payload,
     /// The settings that were in force when the request was read; they apply until the request ends.
     pub settings: Arc<SettingsSnapshot>,
-    /// The request's reservation of the memory for request bodies, released when the request ends; `None` if
-    /// no memory was reserved.
-    pub body_permit: Option<OwnedSemaphorePermit>,
+    /// The memory that is held for the request and its body until the request ends; `None` if no memory was
+    /// reserved.
+    pub memory: Option<MemoryReservation>,
 }
 
 /// The one final answer to a request.
@@ -77,7 +78,7 @@
     submitted: SubmittedRequest,
 ) -> oneshot::Receiver<Answer> {
     let (answer_sender, answer) = oneshot::channel();
-    let SubmittedRequest { request, payload, settings, body_permit } = submitted;
+    let SubmittedRequest { request, payload, settings, memory } = submitted;
     let (id, class, deadline) = (request.id, request.class, request.deadline);
     let open_elsewhere = process_links.has_open_request(id);
     let Some(commands) = (!open_elsewhere).then(|| engine.open_request(request)).flatten() else {
@@ -96,7 +97,7 @@
         commands,
         answer_sender: Some(answer_sender),
         concluded: Arc::default(),
-        _body_permit: body_permit,
+        _memory: memory,
     };
     tokio::spawn(run(context, upstream, payload));
     answer
@@ -156,7 +157,7 @@
     answer_sender: Option<oneshot::Sender<Answer>>,
     /// Set when the request is answered or its client disconnects; shared with the request's attempts.
     concluded: Arc<AtomicBool>,
-    _body_permit: Option<OwnedSemaphorePermit>,
+    _memory: Option<MemoryReservation>,
 }
 
 /// The record that a request keeps of one of its attempts.
--- a/crates/vetchbridge/src/workers/group.rs
+++ b/crates/vetchbridge/src/workers/group.rs
@@ -188,6 +188,11 @@
         }
     }
 
+    /// Returns the number of workers in the endpoint list.
+    pub fn worker_count(&self) -> usize {
+        lock_ignoring_poison(&self.workers).len()
+    }
+
     /// Returns a worker's name for the log; empty if the worker is not in the endpoint list.
     pub fn worker_name(&self, worker_id: WorkerId) -> String {
         lock_ignoring_poison(&self.workers)
--- a/crates/vetchbridge/tests/common/in_process.rs
+++ b/crates/vetchbridge/tests/common/in_process.rs
@@ -176,8 +176,7 @@
         };
         let target = PathAndQuery::from_static("/receipt/k");
         let payload = Payload { id: id.to_string(), target, idempotency_key: None, body };
-        let submitted =
-            SubmittedRequest { request, payload, settings: self.settings.get(), body_permit: None };
+        let submitted = SubmittedRequest { request, payload, settings: self.settings.get(), memory: None };
         submit(self.engine.clone(), self.upstream.clone(), Arc::new(ProcessLinks::default()), submitted)
     }
 
--- a/crates/vetchbridge/tests/invariants.rs
+++ b/crates/vetchbridge/tests/invariants.rs
@@ -95,7 +95,7 @@
             request,
             payload: payload(),
             settings: Arc::new(config.settings_snapshot),
-            body_permit: None,
+            memory: None,
         };
         let answer = submit(engine, upstream, Arc::new(ProcessLinks::default()), submitted);
         tokio::task::yield_now().await;
--- a/crates/vetchbridge/tests/late_connections.rs
+++ b/crates/vetchbridge/tests/late_connections.rs
@@ -348,7 +348,7 @@
         request,
         payload: payload(REQUEST_ID),
         settings: Arc::new(config.settings_snapshot),
-        body_permit: None,
+        memory: None,
     };
     let answer = submit(engine.clone(), upstream.clone(), Arc::new(ProcessLinks::default()), submitted);
     let (mut first, second) = tokio::select! {
--- a/crates/vetchbridge/tests/memory_limits.rs
+++ b/crates/vetchbridge/tests/memory_limits.rs
@@ -8,15 +8,18 @@
 use rstest::rstest;
 use serde_json::json;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
+use tokio::sync::Barrier;
 use tokio::task::JoinSet;
 use vetchbridge_testbed::wire::HttpConnection;
 
 const MEMORY_MIB: usize = 32;
 const SOCKETS: usize = 1024;
+const USUAL_CLIENTS: usize = 200;
+const BODY_BYTES: usize = 20_000;
 const RESULT_BYTES: usize = 63_000;
 /// Interval between two readings of the daemon's memory.
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(5);
@@ -63,6 +66,40 @@
     }
 }
 
+/// Guards against memory that counts against no limit: only bodies did, not what connections hold beside them.
+/// Usual clients, who send all their jobs at once, are served as if the others were not there.
+#[rstest]
+#[case::unfinished_heads(600, unfinished_head())]
+#[timeout(TEST_TIMEOUT)]
+#[tokio::test]
+async fn clients_that_hold_memory_take_neither_the_limit_nor_the_service(
+    #[case] count: usize,
+    #[case] input: String,
+) {
+    let mut test = MemoryTest::start().await;
+    let (round, finished) = (Arc::new(Barrier::new(USUAL_CLIENTS)), Arc::new(AtomicBool::new(false)));
+    let mut usual = JoinSet::new();
+    for number in 0..USUAL_CLIENTS {
+        usual.spawn(submit_jobs(test.harness.daemon.address, number, round.clone(), finished.clone()));
+    }
+    test.hold_memory(count, input).await;
+    finished.store(true, Ordering::Relaxed);
+    let (mut served, mut rejected) = (0, 0);
+    for (client_served, client_rejected) in usual.join_all().await {
+        served += client_served;
+        rejected += client_rejected;
+    }
+    let (peak_kib, limit_kib) = (test.peak_kib(), MEMORY_MIB * 1024);
+    println!("{served} jobs served, {rejected} rejected, peak {peak_kib} KiB");
+    assert!(peak_kib > 0 && peak_kib <= limit_kib, "{peak_kib} KiB of {limit_kib} KiB");
+    assert!(served >= USUAL_CLIENTS && rejected * 100 <= served, "{served} served, {rejected} rejected");
+}
+
+/// The head of a job that fills almost all of the length that a head may have, without its last line.
+fn unfinished_head() -> String {
+    format!("POST /safe/k HTTP/1.1\r\nHost: x\r\nX-A: {}", "a".repeat(8100))
+}
+
 /// Guards against a body that takes many times its length: the buffers of its chunks were kept one by one.
 /// What a body takes may depend on its chunks by a quarter.
 #[rstest]
@@ -79,6 +116,48 @@
     assert!(peaks[0] > 0 && peaks[1] * 4 <= peaks[0] * 5, "{peaks:?} KiB with one chunk and with 60,000");
 }
 
+/// Sends jobs one after the other on one connection, all clients at the same time, until `finished` is set.
+/// Returns how many jobs were served and how many were rejected; a rejected client connects again.
+async fn submit_jobs(
+    address: SocketAddr,
+    number: usize,
+    round: Arc<Barrier>,
+    finished: Arc<AtomicBool>,
+) -> (usize, usize) {
+    let (mut connection, mut served, mut rejected) = (dial(address).await, 0, 0);
+    let body = "x".repeat(BODY_BYTES);
+    let mut turn = 0;
+    loop {
+        // Read between two rounds, so that all clients end after the same round.
+        round.wait().await;
+        let is_finished = finished.load(Ordering::Relaxed);
+        round.wait().await;
+        if is_finished && turn > 0 {
+            break;
+        }
+        let id = format!("X-Trace-Id: {number:08x}{turn:08x}\r\n");
+        let target = format!("/safe/k{number}");
+        turn += 1;
+        let answer = loop {
+            let sent = connection.post(&target, &id, &body).await.is_ok();
+            match if sent { connection.read().await } else { None } {
+                Some(answer) => break answer,
+                // The daemon may close an idle connection; the job is then sent again.
+                None => connection = dial(address).await,
+            }
+        };
+        if answer.status() == "200" {
+            served += 1;
+        } else {
+            rejected += 1;
+        }
+        if answer.header("connection") == Some("close") {
+            connection = dial(address).await;
+        }
+    }
+    (served, rejected)
+}
+
 /// Accepts every job at once, and sends a long result in its callback.
 async fn run_worker(listener: TcpListener, number: usize, daemon: SocketAddr) {
     let mut connections = JoinSet::new();
