Start the time limit of a request when its input waits in the kernel's buffer

Cause: while memory is short, a request is read only once all of it has arrived. An idle connection has no time limit, and input that waits did not end the idle time, so that a client that stops in a request on a kept-alive connection stayed for ever.

Change: input that is seen in the socket's receive buffer begins the request, as input that is read does.

--- a/crates/vetchbridge/src/clients/connection/mod.rs
+++ b/crates/vetchbridge/src/clients/connection/mod.rs
@@ -124,6 +124,11 @@
         }
     }
 
+    /// Records that a request has begun to arrive, and that its input waits in the socket's receive buffer.
+    fn record_waiting_input(&self) {
+        self.update(|state| state.begin_receiving(Instant::now()));
+    }
+
     /// Counts the memory for the input that is held beside the body of the current request. Pipelined input for
     /// which no memory is free is dropped, if the current response can still announce that the connection
     /// closes.
--- a/crates/vetchbridge/src/clients/connection/request_stream.rs
+++ b/crates/vetchbridge/src/clients/connection/request_stream.rs
@@ -131,6 +131,7 @@
                 self.retry_delay = MIN_RETRY_DELAY;
                 return Poll::Ready(Ok(()));
             }
+            self.connection.record_waiting_input();
             // The socket stays readable, so a timer has to wake this task.
             self.retry = Some(Box::pin(sleep(self.retry_delay)));
             self.retry_delay = MAX_RETRY_DELAY.min(2 * self.retry_delay);
--- a/crates/vetchbridge/src/clients/connection/state.rs
+++ b/crates/vetchbridge/src/clients/connection/state.rs
@@ -126,11 +126,8 @@
         Some(EvictionRank { group, since: self.phase_started_at })
     }
 
-    /// Records bytes that were received from the client; returns how many of them belong to the current
-    /// request.
-    pub(super) fn record_received(&mut self, bytes: &[u8], now: Instant) -> usize {
-        let length = self.framing.advance(bytes);
-        self.is_request_complete = length > 0 && self.framing.is_request_complete();
+    /// Records that input of a request is there, whether or not it has been read from the socket.
+    pub(super) fn begin_receiving(&mut self, now: Instant) {
         match self.phase {
             // The time limit for the first request counts from the client's connect, so the start of the
             // phase is kept.
@@ -139,6 +136,14 @@
             Phase::ReceivingRequest | Phase::AwaitingResponse | Phase::SendingResponse | Phase::Lingering => {
             }
         }
+    }
+
+    /// Records bytes that were received from the client; returns how many of them belong to the current
+    /// request.
+    pub(super) fn record_received(&mut self, bytes: &[u8], now: Instant) -> usize {
+        let length = self.framing.advance(bytes);
+        self.is_request_complete = length > 0 && self.framing.is_request_complete();
+        self.begin_receiving(now);
         length
     }
 
--- a/crates/vetchbridge/tests/memory_limits.rs
+++ b/crates/vetchbridge/tests/memory_limits.rs
@@ -11,7 +11,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
 use tokio::sync::Barrier;
 use tokio::task::JoinSet;
@@ -120,6 +120,45 @@
     format!("{head}{}", "b".repeat(bytes))
 }
 
+/// Guards against a request that waits in the kernel's buffer without a time limit: while memory is short, the
+/// daemon reads a request only when all of it has arrived, and an idle connection has no time limit. A request in
+/// pieces is served meanwhile.
+#[rstest]
+#[timeout(TEST_TIMEOUT)]
+#[tokio::test]
+async fn a_request_on_a_kept_alive_connection_is_served_or_ended_while_memory_is_short() {
+    // With this limit, these idle connections alone fill the budget beyond the part for unfinished input.
+    const IDLE_CLIENTS: usize = 20;
+    let mut harness = Harness::start_with_limits(1, json!({"memory_mb": 1, "sockets": SOCKETS})).await;
+    let mut clients = Vec::new();
+    for _ in 0..IDLE_CLIENTS {
+        let mut client = dial(harness.daemon.address).await;
+        client.send("GET /health/ready HTTP/1.1\r\nhost: x\r\n\r\n").await;
+        assert_eq!(status(client.read().await.as_ref()), "200");
+        clients.push(client);
+    }
+    let worker = harness.workers.pop().expect("a worker");
+    let address = harness.daemon.address;
+    let worker = tokio::spawn(async move { run_worker(worker, 0, address).await });
+    let mut in_pieces = clients.pop().expect("a client");
+    for piece in
+        ["POST /safe/k HTTP/1.1\r\nX-Trace-Id: 00000000000000ab\r\nContent-Length: 4\r\n", "\r\nwo", "rk"]
+    {
+        in_pieces.send(piece).await;
+        wait_until_delivered(&mut in_pieces).await;
+    }
+    assert_eq!(status(in_pieces.read().await.as_ref()), "200");
+    for client in &mut clients {
+        client.send(&unfinished_request("/safe/k", 4)).await;
+    }
+    let sent_at = Instant::now();
+    for client in &mut clients {
+        while client.read().await.is_some() {}
+    }
+    assert!(sent_at.elapsed() < Duration::from_secs(3), "clients that stop are ended within 3 s");
+    worker.abort();
+}
+
 /// Guards against a body that takes many times its length: the buffers of its chunks were kept one by one.
 /// What a body takes may depend on its chunks by a quarter.
 #[rstest]
