--- a/review/stand-2/src/main.rs
+++ b/review/stand-2/src/main.rs
@@ -3,8 +3,9 @@
 mod config;
 mod http;
 mod memory;
+mod fleet;
+mod fuzz;
 mod flood;
-mod scratch;
 mod world;
 
 use std::path::Path;
@@ -14,8 +15,9 @@
     let root = std::fs::canonicalize(Path::new(&arguments[2])).expect("the repository's root");
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let code = match arguments[1].as_str() {
-        "scratch" => scratch::run(&root, &arguments[3], trouble),
         "flood" => flood::run(&root, &arguments[3], trouble),
+        "fuzz" => fuzz::run(&root, &arguments[3], trouble),
+        "fleet" => fleet::run(&root, &arguments[3], trouble),
         "memory" => memory::run(&root, &arguments[3], trouble),
         _ => 2,
     };
--- a/review/stand-2/src/world.rs
+++ b/review/stand-2/src/world.rs
@@ -45,8 +45,16 @@
     run: String,
 }
 
+/// A free address for a scheduler, outside the range from which the kernel takes ports by itself.
 pub fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    static TRIED: AtomicU64 = AtomicU64::new(0);
+    loop {
+        let number = u64::from(std::process::id()) * 97 + TRIED.fetch_add(1, Ordering::Relaxed);
+        let address = SocketAddr::from(([127, 0, 0, 1], 10_000 + (number % 20_000) as u16));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 extern "C" {
@@ -270,8 +278,7 @@
 impl Worker {
     pub fn start(name: &str, scheduler: SocketAddr, record: &Record, on_job: Arc<OnJob>) -> Worker {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let address = listener.local_addr().unwrap();
-        let worker = Worker { name: name.to_string(), address, scheduler, record: record.clone(), on_job };
+        let worker = Worker::at(name, listener.local_addr().unwrap(), scheduler, record, on_job);
         let server = worker.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -282,7 +289,13 @@
         worker
     }
 
-    fn serve(&self, stream: TcpStream) -> io::Result<()> {
+    /// A worker whose listener the case has.
+    pub fn at(name: &str, address: SocketAddr, scheduler: SocketAddr, record: &Record, on_job: Arc<OnJob>) -> Worker {
+        Worker { name: name.to_string(), address, scheduler, record: record.clone(), on_job }
+    }
+
+    /// Serves one connection until it ends.
+    pub fn serve(&self, stream: TcpStream) -> io::Result<()> {
         stream.set_nodelay(true)?;
         let mut reader = BufReader::new(stream.try_clone()?);
         let mut stream = stream;
