--- a/review/stand-2/src/fleet.rs
+++ b/review/stand-2/src/fleet.rs
@@ -8,7 +8,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::os::fd::AsRawFd;
 use std::path::Path;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
@@ -33,11 +33,11 @@
     let platform = Platform::new(root, case);
     let record = platform.record.clone();
     let (listen, admin) = (free_address(), [free_address(), free_address()]);
-    let Some(workers) = start_workers(listen, &record) else {
+    let Some(fleet) = Fleet::start(listen, &record) else {
         record.say(format!("the machine has too few descriptors for {WORKERS} listeners"));
         return 2;
     };
-    let discovery = Discovery::start(workers.iter().map(|w| Instance::new(&w.name, w.address)).collect());
+    let discovery = Discovery::start(fleet.instances());
     let mut config = Config::new("n0", listen, discovery.address);
     (config.memory_mb, config.admin) = (MEMORY_MB, Some(admin[0]));
     let path = platform.folder.join("config.json");
@@ -48,117 +48,127 @@
         return 2;
     }
 
-    // The platform: kills the scheduler, both of its processes, once their own memory is over `memory_mb`.
-    let pids = Arc::new(Mutex::new(vec![old.pid]));
-    let (peak, killed, stop) = (Arc::new(AtomicU64::new(0)), Arc::new(AtomicBool::new(false)), Arc::new(AtomicBool::new(false)));
-    let guard = {
-        let (pids, peak, killed, stop, record) = (pids.clone(), peak.clone(), killed.clone(), stop.clone(), record.clone());
-        thread::spawn(move || {
-            while !stop.load(Ordering::Relaxed) && !killed.load(Ordering::Relaxed) {
-                let pids = pids.lock().unwrap().clone();
-                let each: Vec<u64> = pids.iter().map(|pid| memory_kib(*pid, "RssAnon")).collect();
-                let used = each.iter().sum();
-                peak.fetch_max(used, Ordering::Relaxed);
-                if used > MEMORY_MB * 1024 {
-                    pids.iter().for_each(|pid| signal(*pid, SIGKILL));
-                    killed.store(true, Ordering::Relaxed);
-                    record.say(format!("platform: killed, RssAnon {each:?} KiB together is over memory_mb {MEMORY_MB}"));
-                }
-                thread::sleep(Duration::from_millis(2));
-            }
-        })
-    };
-
-    // Usual clients: 20 jobs a second.
-    let answers: Arc<Mutex<BTreeMap<u16, usize>>> = Arc::default();
-    let load = {
-        let (answers, stop, record) = (answers.clone(), stop.clone(), record.clone());
-        thread::spawn(move || {
-            let mut clients = Vec::new();
-            for number in 0.. {
-                if stop.load(Ordering::Relaxed) {
-                    break;
-                }
-                let (answers, record) = (answers.clone(), record.clone());
-                clients.push(thread::spawn(move || {
-                    let status = send_job(listen, number, &record);
-                    *answers.lock().unwrap().entry(status).or_default() += 1;
-                }));
-                thread::sleep(Duration::from_millis(50));
-            }
-            clients.into_iter().for_each(|client| client.join().unwrap());
-        })
-    };
+    let limit = MemoryLimit::watch(old.pid, MEMORY_MB, &record);
+    let load = Load::start(listen, 20, &record);
     thread::sleep(Duration::from_secs(20));
     record.say(format!("before the upgrade: RssAnon {} KiB", memory_kib(old.pid, "RssAnon")));
     if trouble {
         config.admin = Some(admin[1]);
         std::fs::write(&path, config.json()).unwrap();
         let mut new = platform.start("n0", &path, "new.log", &[]);
-        pids.lock().unwrap().push(new.pid);
+        limit.pids.lock().unwrap().push(new.pid);
         let ok = (0..300).any(|_| {
             thread::sleep(Duration::from_millis(20));
-            killed.load(Ordering::Relaxed) || health(admin[1])
+            limit.has_killed() || health(admin[1])
         });
         record.line(format!("platform: the new process says yes: {ok}"));
         signal(old.pid, SIGTERM);
         thread::sleep(Duration::from_millis(3700));
         signal(old.pid, SIGKILL);
-        pids.lock().unwrap().retain(|pid| *pid != old.pid);
+        limit.pids.lock().unwrap().retain(|pid| *pid != old.pid);
         record.line(format!("platform: the old process has ended: {}", old.wait(&platform)));
         thread::sleep(Duration::from_secs(2));
         record.line(format!("platform: the new process runs: {}", new.runs()));
     } else {
         thread::sleep(Duration::from_secs(6));
     }
-    stop.store(true, Ordering::Relaxed);
-    load.join().unwrap();
-    guard.join().unwrap();
-    record.say(format!("answers by status (0: none): {:?}", answers.lock().unwrap()));
-    record.say(format!("peak of both processes: RssAnon {} KiB of {} KiB", peak.load(Ordering::Relaxed), MEMORY_MB * 1024));
-    let broken = killed.load(Ordering::Relaxed);
-    record.say(if broken { "BROKEN: the scheduler went over memory_mb and was killed" } else { "held" });
-    i32::from(broken)
+    load.end(&record);
+    limit.verdict(&record)
 }
 
-/// Starts the workers, each with an address of its own; one thread accepts for all. `None` without descriptors.
-fn start_workers(scheduler: SocketAddr, record: &Record) -> Option<Vec<Worker>> {
-    let on_job: Arc<OnJob> = Arc::new(|worker, job, stream| {
-        let is_job = job.method() == "POST";
-        http::respond(stream, if is_job { "202 Accepted" } else { "204 No Content" }, "", b"")?;
-        if is_job {
-            let (worker, id) = (worker.clone(), job.header("x-trace-id").unwrap_or("").to_string());
-            thread::spawn(move || {
-                worker.tell(&id, "started", "");
-                thread::sleep(RUNNING_TIME);
-                worker.tell(&id, "done", &format!(r#","result":"r-{id}""#));
-            });
-        }
-        Ok(true)
-    });
-    let (mut listeners, mut workers) = (Vec::new(), Vec::new());
-    for number in 0..WORKERS {
-        let listener = TcpListener::bind("127.0.0.1:0").ok()?;
-        let name = format!("s-{:08x}", (number as u32).wrapping_mul(0x9e37_79b9));
-        workers.push(Worker::at(&name, listener.local_addr().ok()?, scheduler, record, on_job.clone()));
-        listeners.push(listener);
-    }
-    let all = workers.clone();
-    thread::spawn(move || {
-        let mut fds: Vec<PollFd> =
-            listeners.iter().map(|listener| PollFd { fd: listener.as_raw_fd(), events: 1, revents: 0 }).collect();
-        loop {
-            // SAFETY: the pointer and the count describe `fds`, whose descriptors `listeners` keeps open.
-            unsafe { poll(fds.as_mut_ptr(), fds.len() as std::ffi::c_ulong, 1000) };
-            for (index, _) in fds.iter().enumerate().filter(|(_, fd)| fd.revents != 0) {
-                if let Ok((stream, _)) = listeners[index].accept() {
-                    let worker = all[index].clone();
-                    thread::spawn(move || worker.serve(stream));
+/// Usual clients at a steady rate.
+struct Load {
+    stop: Arc<AtomicBool>,
+    answers: Arc<Mutex<BTreeMap<u16, usize>>>,
+    thread: thread::JoinHandle<()>,
+}
+
+impl Load {
+    fn start(listen: SocketAddr, per_second: u64, record: &Record) -> Load {
+        let (stop, answers, record) = (Arc::new(AtomicBool::new(false)), Arc::<Mutex<BTreeMap<u16, usize>>>::default(), record.clone());
+        let (stopped, counted) = (stop.clone(), answers.clone());
+        let thread = thread::spawn(move || {
+            let mut clients = Vec::new();
+            for number in 0.. {
+                if stopped.load(Ordering::Relaxed) {
+                    break;
                 }
+                let (answers, record) = (counted.clone(), record.clone());
+                clients.push(thread::spawn(move || {
+                    let status = send_job(listen, number, &record);
+                    *answers.lock().unwrap().entry(status).or_default() += 1;
+                }));
+                thread::sleep(Duration::from_micros(1_000_000 / per_second));
+            }
+            clients.into_iter().for_each(|client| client.join().unwrap());
+        });
+        Load { stop, answers, thread }
+    }
+
+    fn end(self, record: &Record) {
+        self.stop.store(true, Ordering::Relaxed);
+        self.thread.join().unwrap();
+        record.say(format!("answers by status (0: none): {:?}", self.answers.lock().unwrap()));
+    }
+}
+
+/// The workers, each with an address of its own; one thread accepts for all.
+struct Fleet(Arc<Mutex<Vec<Worker>>>);
+
+impl Fleet {
+    /// Returns `None` if the machine has too few descriptors.
+    fn start(scheduler: SocketAddr, record: &Record) -> Option<Fleet> {
+        let on_job: Arc<OnJob> = Arc::new(|worker, job, stream| {
+            let is_job = job.method() == "POST";
+            http::respond(stream, if is_job { "202 Accepted" } else { "204 No Content" }, "", b"")?;
+            if is_job {
+                let (worker, id) = (worker.clone(), job.header("x-trace-id").unwrap_or("").to_string());
+                thread::spawn(move || {
+                    worker.tell(&id, "started", "");
+                    thread::sleep(RUNNING_TIME);
+                    worker.tell(&id, "done", &format!(r#","result":"r-{id}""#));
+                });
             }
+            Ok(true)
+        });
+        let (mut listeners, mut workers) = (Vec::new(), Vec::new());
+        for index in 0..WORKERS {
+            let listener = TcpListener::bind("127.0.0.1:0").ok()?;
+            let address = listener.local_addr().ok()?;
+            workers.push(Worker::at(&name(index), address, scheduler, record, on_job.clone()));
+            listeners.push(listener);
         }
-    });
-    Some(workers)
+        let fleet = Fleet(Arc::new(Mutex::new(workers)));
+        let workers = fleet.0.clone();
+        thread::spawn(move || {
+            let mut fds: Vec<PollFd> =
+                listeners.iter().map(|listener| PollFd { fd: listener.as_raw_fd(), events: 1, revents: 0 }).collect();
+            loop {
+                // SAFETY: the pointer and the count describe `fds`, whose descriptors `listeners` keeps open.
+                unsafe { poll(fds.as_mut_ptr(), fds.len() as std::ffi::c_ulong, 1000) };
+                for (index, _) in fds.iter().enumerate().filter(|(_, fd)| fd.revents != 0) {
+                    if let Ok((stream, _)) = listeners[index].accept() {
+                        let worker = workers.lock().unwrap()[index].clone();
+                        thread::spawn(move || worker.serve(stream));
+                    }
+                }
+            }
+        });
+        Some(fleet)
+    }
+
+    fn instance(&self, index: usize) -> Instance {
+        let workers = self.0.lock().unwrap();
+        Instance::new(&workers[index].name, workers[index].address)
+    }
+
+    fn instances(&self) -> Vec<Instance> {
+        (0..WORKERS).map(|index| self.instance(index)).collect()
+    }
+}
+
+fn name(index: usize) -> String {
+    format!("s-{:08x}", (index as u32).wrapping_mul(0x9e37_79b9))
 }
 
 /// Whether the operators' door answers `health` with `ok`.
--- a/review/stand-2/src/main.rs
+++ b/review/stand-2/src/main.rs
@@ -4,7 +4,6 @@
 mod http;
 mod memory;
 mod fleet;
-mod fuzz;
 mod flood;
 mod world;
 
@@ -16,7 +15,6 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let code = match arguments[1].as_str() {
         "flood" => flood::run(&root, &arguments[3], trouble),
-        "fuzz" => fuzz::run(&root, &arguments[3], trouble),
         "fleet" => fleet::run(&root, &arguments[3], trouble),
         "memory" => memory::run(&root, &arguments[3], trouble),
         _ => 2,
--- a/review/stand-2/src/memory.rs
+++ b/review/stand-2/src/memory.rs
@@ -7,7 +7,7 @@
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
 use std::path::Path;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
@@ -52,23 +52,7 @@
         return 2;
     }
 
-    // The platform: kills the scheduler once its own memory, without files, is over `memory_mb`.
-    let (peak, killed, stop) = (Arc::new(AtomicU64::new(0)), Arc::new(AtomicBool::new(false)), Arc::new(AtomicBool::new(false)));
-    let guard = {
-        let (peak, killed, stop, pid, record) = (peak.clone(), killed.clone(), stop.clone(), scheduler.pid, record.clone());
-        thread::spawn(move || {
-            while !stop.load(Ordering::Relaxed) && !killed.load(Ordering::Relaxed) {
-                let used = memory_kib(pid, "RssAnon");
-                peak.fetch_max(used, Ordering::Relaxed);
-                if used > MEMORY_MB * 1024 {
-                    signal(pid, SIGKILL);
-                    killed.store(true, Ordering::Relaxed);
-                    record.say(format!("platform: killed, RssAnon {used} KiB is over memory_mb {MEMORY_MB}"));
-                }
-                thread::sleep(Duration::from_millis(2));
-            }
-        })
-    };
+    let limit = MemoryLimit::watch(scheduler.pid, MEMORY_MB, &record);
     record.line(format!("idle: RssAnon {} KiB", memory_kib(scheduler.pid, "RssAnon")));
     let answers: Arc<Mutex<BTreeMap<(&'static str, u16), usize>>> = Arc::default();
     let mut clients = Vec::new();
@@ -89,17 +73,11 @@
         thread::sleep(Duration::from_millis(50));
     }
     clients.into_iter().for_each(|client| client.join().unwrap());
-    let ended = !scheduler.runs();
-    stop.store(true, Ordering::Relaxed);
-    guard.join().unwrap();
     for ((kind, status), count) in answers.lock().unwrap().iter() {
         record.say(format!("{kind} clients: answer {status} (0: none): {count}"));
     }
-    let (peak, spoilt) = (peak.load(Ordering::Relaxed), spoilt.load(Ordering::Relaxed));
-    record.say(format!("peak RssAnon {peak} KiB of {} KiB, spoilt answers {spoilt}", MEMORY_MB * 1024));
-    let broken = killed.load(Ordering::Relaxed) || ended;
-    record.say(if broken { "BROKEN: the scheduler went over memory_mb and was killed" } else { "held" });
-    i32::from(broken)
+    record.say(format!("spoilt answers: {}; scheduler runs: {}", spoilt.load(Ordering::Relaxed), scheduler.runs()));
+    limit.verdict(&record)
 }
 
 /// An answer whose head never ends: 360 KB of header lines, then one line each 5 ms, until the other side closes.
--- a/review/stand-2/src/world.rs
+++ b/review/stand-2/src/world.rs
@@ -7,7 +7,7 @@
 use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -154,6 +154,53 @@
     line.and_then(|line| line.split_whitespace().nth(1)).and_then(|kib| kib.parse().ok()).unwrap_or(0)
 }
 
+/// The platform's limit on memory: kills a scheduler, all of its processes, once their own memory without files is over
+/// `memory_mb` together.
+pub struct MemoryLimit {
+    pub pids: Arc<Mutex<Vec<i32>>>,
+    pub peak_kib: Arc<AtomicU64>,
+    pub killed: Arc<AtomicBool>,
+    memory_mb: u64,
+}
+
+impl MemoryLimit {
+    pub fn watch(pid: i32, memory_mb: u64, record: &Record) -> MemoryLimit {
+        let limit = MemoryLimit {
+            pids: Arc::new(Mutex::new(vec![pid])),
+            peak_kib: Arc::default(),
+            killed: Arc::default(),
+            memory_mb,
+        };
+        let (pids, peak, killed, record) =
+            (limit.pids.clone(), limit.peak_kib.clone(), limit.killed.clone(), record.clone());
+        thread::spawn(move || loop {
+            let pids = pids.lock().unwrap().clone();
+            let each: Vec<u64> = pids.iter().map(|pid| memory_kib(*pid, "RssAnon")).collect();
+            let used = each.iter().sum();
+            peak.fetch_max(used, Ordering::Relaxed);
+            if used > memory_mb * 1024 {
+                pids.iter().for_each(|pid| signal(*pid, SIGKILL));
+                record.say(format!("platform: killed, RssAnon {each:?} KiB is over memory_mb {memory_mb}"));
+                return killed.store(true, Ordering::Relaxed);
+            }
+            thread::sleep(Duration::from_millis(2));
+        });
+        limit
+    }
+
+    pub fn has_killed(&self) -> bool {
+        self.killed.load(Ordering::Relaxed)
+    }
+
+    /// Says the result; returns the case's exit code.
+    pub fn verdict(&self, record: &Record) -> i32 {
+        let (peak, broken) = (self.peak_kib.load(Ordering::Relaxed), self.has_killed());
+        record.say(format!("peak RssAnon {peak} KiB of {} KiB", self.memory_mb * 1024));
+        record.say(if broken { "BROKEN: the scheduler went over memory_mb and was killed" } else { "held" });
+        i32::from(broken)
+    }
+}
+
 pub fn wait_ready(address: SocketAddr, limit: Duration) -> bool {
     let end = Instant::now() + limit;
     while Instant::now() < end {
