Review case 6: five bad clients whose chunk length never ends stop the scheduler

Cause: a chunk length may have any number of digits, and reading them at full speed keeps the single-threaded runtime from its sockets and timers. Change: a script; the cases are numbered anew, the gravest first (6 is now 8, 8 is now 9).

--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -3,6 +3,5 @@
 cd "$(dirname "$0")" || exit 2
 stand=../stand-2/target/release/stand-2
 [ -x "$stand" ] && [ -x ../../target/release/vetchbridge ] || { echo "build first: deploy file, build-2.sh"; exit 2; }
-ulimit -n "$(ulimit -Hn)" 2>/dev/null
-"$stand" fleet ../.. 8
+"$stand" memory ../.. 8
 case $? in 0) exit 0 ;; 1) exit 1 ;; *) exit 2 ;; esac
--- a/review/stand-2/src/fleet.rs
+++ b/review/stand-2/src/fleet.rs
@@ -1,4 +1,4 @@
-//! Case 8: an upgrade of a scheduler whose list has 3,200 workers.
+//! Case 9: an upgrade of a scheduler whose list has 3,200 workers.
 
 use crate::config::Config;
 use crate::http;
--- a/review/stand-2/src/main.rs
+++ b/review/stand-2/src/main.rs
@@ -2,6 +2,7 @@
 
 mod config;
 mod http;
+mod length;
 mod memory;
 mod fleet;
 mod flood;
@@ -16,6 +17,7 @@
     let code = match arguments[1].as_str() {
         "flood" => flood::run(&root, &arguments[3], trouble),
         "fleet" => fleet::run(&root, &arguments[3], trouble),
+        "length" => length::run(&root, &arguments[3], trouble),
         "memory" => memory::run(&root, &arguments[3], trouble),
         _ => 2,
     };
--- a/review/stand-2/src/memory.rs
+++ b/review/stand-2/src/memory.rs
@@ -1,4 +1,4 @@
-//! Case 6: workers whose answers never end, while a client sends hundreds of requests at once.
+//! Case 8: workers whose answers never end, while a client sends hundreds of requests at once.
 
 use crate::config::Config;
 use crate::http;
