--- a/review/stand-2/src/main.rs
+++ b/review/stand-2/src/main.rs
@@ -4,6 +4,7 @@
 mod http;
 mod length;
 mod memory;
+mod slow;
 mod fleet;
 mod flood;
 mod world;
@@ -18,6 +19,7 @@
         "flood" => flood::run(&root, &arguments[3], trouble),
         "fleet" => fleet::run(&root, &arguments[3], trouble),
         "length" => length::run(&root, &arguments[3], trouble),
+        "slow" => slow::run(&root, &arguments[3], trouble),
         "memory" => memory::run(&root, &arguments[3], trouble),
         _ => 2,
     };
--- a/review/stand-2/src/world.rs
+++ b/review/stand-2/src/world.rs
@@ -251,6 +251,8 @@
 #[derive(Clone)]
 pub struct Discovery {
     pub address: SocketAddr,
+    /// The time in milliseconds over which an answer is written, in pieces; 0: at once.
+    pub pace_ms: Arc<AtomicU64>,
     list: Arc<(Mutex<(u64, Vec<Instance>)>, Condvar)>,
 }
 
@@ -258,7 +260,7 @@
     pub fn start(instances: Vec<Instance>) -> Discovery {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
-        let discovery = Discovery { address, list: Arc::new((Mutex::new((41, instances)), Condvar::new())) };
+        let discovery = Discovery { address, pace_ms: Arc::default(), list: Arc::new((Mutex::new((41, instances)), Condvar::new())) };
         let server = discovery.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -303,7 +305,18 @@
             }
             let body = Self::json(&list, whole);
             drop(list);
-            http::respond(&mut stream, "200 OK", "Content-Type: application/json\r\n", body.as_bytes())?;
+            let pace = self.pace_ms.load(Ordering::Relaxed);
+            if pace == 0 {
+                http::respond(&mut stream, "200 OK", "Content-Type: application/json\r\n", body.as_bytes())?;
+                continue;
+            }
+            let head = format!("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n", body.len());
+            stream.write_all(head.as_bytes())?;
+            let pieces = body.as_bytes().chunks(body.len().div_ceil(12));
+            for piece in pieces {
+                thread::sleep(Duration::from_millis(pace / 12));
+                stream.write_all(piece)?;
+            }
         }
         Ok(())
     }
