--- a/review/stand-2/src/fleet.rs
+++ b/review/stand-2/src/fleet.rs
@@ -85,7 +85,8 @@
 
 impl Load {
     fn start(listen: SocketAddr, per_second: u64, record: &Record) -> Load {
-        let (stop, answers, record) = (Arc::new(AtomicBool::new(false)), Arc::<Mutex<BTreeMap<u16, usize>>>::default(), record.clone());
+        let (stop, answers, record) =
+            (Arc::new(AtomicBool::new(false)), Arc::<Mutex<BTreeMap<u16, usize>>>::default(), record.clone());
         let (stopped, counted) = (stop.clone(), answers.clone());
         let thread = thread::spawn(move || {
             let mut clients = Vec::new();
@@ -141,8 +142,10 @@
         let fleet = Fleet(Arc::new(Mutex::new(workers)));
         let workers = fleet.0.clone();
         thread::spawn(move || {
-            let mut fds: Vec<PollFd> =
-                listeners.iter().map(|listener| PollFd { fd: listener.as_raw_fd(), events: 1, revents: 0 }).collect();
+            let mut fds: Vec<PollFd> = listeners
+                .iter()
+                .map(|listener| PollFd { fd: listener.as_raw_fd(), events: 1, revents: 0 })
+                .collect();
             loop {
                 // SAFETY: the pointer and the count describe `fds`, whose descriptors `listeners` keeps open.
                 unsafe { poll(fds.as_mut_ptr(), fds.len() as std::ffi::c_ulong, 1000) };
@@ -175,7 +178,9 @@
 fn health(admin: SocketAddr) -> bool {
     let Ok(mut stream) = http::connect(admin, Duration::from_secs(1)) else { return false };
     let mut line = String::new();
-    stream.write_all(b"health\n").is_ok() && BufReader::new(stream).read_line(&mut line).is_ok() && line.starts_with("ok")
+    stream.write_all(b"health\n").is_ok()
+        && BufReader::new(stream).read_line(&mut line).is_ok()
+        && line.starts_with("ok")
 }
 
 fn send_job(listen: SocketAddr, number: usize, record: &Record) -> u16 {
--- a/review/stand-2/src/flood.rs
+++ b/review/stand-2/src/flood.rs
@@ -32,7 +32,10 @@
                 spoilt.fetch_add(1, Ordering::Relaxed);
                 worker.record.line(format!("{}: spoilt answer to job {number} begins", worker.name));
                 let written = never_end(stream);
-                worker.record.line(format!("{}: spoilt answer to job {number}: cut after {written} bytes", worker.name));
+                worker.record.line(format!(
+                    "{}: spoilt answer to job {number}: cut after {written} bytes",
+                    worker.name
+                ));
                 return Ok(false);
             }
             http::respond(stream, if is_job { "202 Accepted" } else { "204 No Content" }, "", b"")?;
@@ -76,7 +79,11 @@
         spoilt.load(Ordering::Relaxed),
         scheduler.runs()
     ));
-    record.say(if late > 0 { "BROKEN: requests that the scheduler had taken got no final answer in time" } else { "held" });
+    record.say(if late > 0 {
+        "BROKEN: requests that the scheduler had taken got no final answer in time"
+    } else {
+        "held"
+    });
     i32::from(late > 0)
 }
 
@@ -105,7 +112,8 @@
     let millis = DEADLINE.as_millis() as u64;
     let request = job(&id, "position", &format!("k{number}"), millis, "X-Size-Hint: 150000\r\n", b"x");
     let sent = Instant::now();
-    let status = http::call(listen, &request, LATEST + Duration::from_millis(100)).map_or(0, |answer| answer.status());
+    let status =
+        http::call(listen, &request, LATEST + Duration::from_millis(100)).map_or(0, |answer| answer.status());
     record.line(format!("client: {id} answered {status} after {:?}", sent.elapsed()));
     (sent.elapsed(), status)
 }
--- a/review/stand-2/src/length.rs
+++ b/review/stand-2/src/length.rs
@@ -76,14 +76,20 @@
         results.len(),
         scheduler.runs()
     ));
-    record.say(if late > 0 { "BROKEN: requests that the scheduler had taken got no final answer in time" } else { "held" });
+    record.say(if late > 0 {
+        "BROKEN: requests that the scheduler had taken got no final answer in time"
+    } else {
+        "held"
+    });
     i32::from(late > 0)
 }
 
 /// Sends a job with a chunked body at full speed, reads the answer and closes. The length of the first chunk has
 /// 60 million digits, all of them zeros so far.
 fn bad_request(listen: SocketAddr) -> String {
-    let Ok(mut stream) = http::connect(listen, Duration::from_secs(10)) else { return "no connection".to_string() };
+    let Ok(mut stream) = http::connect(listen, Duration::from_secs(10)) else {
+        return "no connection".to_string();
+    };
     let id = new_id();
     let head = format!(
         "POST /position/k HTTP/1.1\r\nHost: app.svc\r\nX-Trace-Id: {id}\r\nX-Qos: position\r\nX-Expires-In: 5000m\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -114,7 +120,8 @@
     let millis = DEADLINE.as_millis() as u64;
     let request = job(&id, "position", &format!("k{number}"), millis, "X-Size-Hint: 150000\r\n", b"x");
     let sent = Instant::now();
-    let status = http::call(listen, &request, LATEST + Duration::from_millis(100)).map_or(0, |answer| answer.status());
+    let status =
+        http::call(listen, &request, LATEST + Duration::from_millis(100)).map_or(0, |answer| answer.status());
     record.line(format!("client: {id} answered {status} after {:?}", sent.elapsed()));
     (sent.elapsed(), status)
 }
--- a/review/stand-2/src/main.rs
+++ b/review/stand-2/src/main.rs
@@ -1,12 +1,12 @@
 //! Runs one case of the review: `stand-2 CASE ROOT`. TROUBLE=0 leaves the disruption out.
 
 mod config;
+mod fleet;
+mod flood;
 mod http;
 mod length;
 mod memory;
 mod slow;
-mod fleet;
-mod flood;
 mod world;
 
 use std::path::Path;
--- a/review/stand-2/src/memory.rs
+++ b/review/stand-2/src/memory.rs
@@ -76,7 +76,11 @@
     for ((kind, status), count) in answers.lock().unwrap().iter() {
         record.say(format!("{kind} clients: answer {status} (0: none): {count}"));
     }
-    record.say(format!("spoilt answers: {}; scheduler runs: {}", spoilt.load(Ordering::Relaxed), scheduler.runs()));
+    record.say(format!(
+        "spoilt answers: {}; scheduler runs: {}",
+        spoilt.load(Ordering::Relaxed),
+        scheduler.runs()
+    ));
     limit.verdict(&record)
 }
 
--- a/review/stand-2/src/slow.rs
+++ b/review/stand-2/src/slow.rs
@@ -59,8 +59,16 @@
                     thread::sleep(Duration::from_millis(25));
                     thread::spawn(move || {
                         let id = new_id();
-                        let request = job(&id, "position", &format!("k{number}"), 5000, "X-Size-Hint: 150000\r\n", b"x");
-                        let status = http::call(listen, &request, Duration::from_secs(6)).map_or(0, |a| a.status());
+                        let request = job(
+                            &id,
+                            "position",
+                            &format!("k{number}"),
+                            5000,
+                            "X-Size-Hint: 150000\r\n",
+                            b"x",
+                        );
+                        let status =
+                            http::call(listen, &request, Duration::from_secs(6)).map_or(0, |a| a.status());
                         record.line(format!("client: {id} answered {status}"));
                         let mut answered = answered.lock().unwrap();
                         answered.0 += 1;
@@ -89,8 +97,18 @@
         .map(|(at, _)| *at - changed)
         .collect();
     let answered = answered.lock().unwrap();
-    record.say(format!("{} requests, {} served, {} attempts; scheduler runs: {}", answered.0, answered.1, attempts.len(), scheduler.runs()));
-    record.say(format!("attempts at draining workers more than {GRACE:?} after the change: {}, last {:?}", late.len(), late.last()));
+    record.say(format!(
+        "{} requests, {} served, {} attempts; scheduler runs: {}",
+        answered.0,
+        answered.1,
+        attempts.len(),
+        scheduler.runs()
+    ));
+    record.say(format!(
+        "attempts at draining workers more than {GRACE:?} after the change: {}, last {:?}",
+        late.len(),
+        late.last()
+    ));
     record.say(if late.is_empty() { "held" } else { "BROKEN: workers that drain got new work" });
     i32::from(!late.is_empty())
 }
--- a/review/stand-2/src/world.rs
+++ b/review/stand-2/src/world.rs
@@ -10,7 +10,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
 /// What was sent, answered and run, one line each with its time in seconds since the start.
 #[derive(Clone)]
@@ -61,7 +61,6 @@
     fn kill(pid: i32, signal: i32) -> i32;
 }
 
-pub const SIGHUP: i32 = 1;
 pub const SIGKILL: i32 = 9;
 pub const SIGTERM: i32 = 15;
 
@@ -75,7 +74,8 @@
         let record = Record::create(&root.join("review").join(case).join("record.txt"));
         let folder = std::env::temp_dir().join(format!("stand-2-{}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("a temporary folder");
-        let deploy = std::fs::read_to_string(root.join("deploy/balancer.toml")).expect("deploy/balancer.toml");
+        let deploy =
+            std::fs::read_to_string(root.join("deploy/balancer.toml")).expect("deploy/balancer.toml");
         let run = deploy.lines().find_map(|line| line.strip_prefix("run = \"")).expect("the key run");
         let run = run.split('"').next().unwrap().to_string();
         let children: Arc<Mutex<Vec<i32>>> = Arc::default();
@@ -95,8 +95,7 @@
     pub fn start(&self, name: &str, config: &Path, log: &str, env: &[(&str, String)]) -> Scheduler {
         let tmp = self.folder.join(format!("tmp-{name}"));
         std::fs::create_dir_all(&tmp).unwrap();
-        let log_path = self.folder.join(log);
-        let log = File::create(&log_path).unwrap();
+        let log = File::create(self.folder.join(log)).unwrap();
         let mut command = Command::new("/bin/sh");
         command.arg("-c").arg(&self.run).current_dir(&self.root).stdin(Stdio::null());
         command.stdout(log.try_clone().unwrap()).stderr(log);
@@ -112,7 +111,7 @@
         let pid = child.id() as i32;
         self.children.lock().unwrap().push(pid);
         self.record.line(format!("platform: {name} started"));
-        Scheduler { pid, child, log: log_path }
+        Scheduler { pid, child }
     }
 }
 
@@ -130,7 +129,6 @@
 pub struct Scheduler {
     pub pid: i32,
     child: Child,
-    pub log: PathBuf,
 }
 
 impl Scheduler {
@@ -232,7 +230,15 @@
 impl Instance {
     pub fn new(name: &str, address: SocketAddr) -> Instance {
         let text = |text: &str| text.to_string();
-        Instance { name: text(name), address, zone: text("callao"), kind: text("fast"), cell: 0, state: text("up"), started_ms: 0 }
+        Instance {
+            name: text(name),
+            address,
+            zone: text("callao"),
+            kind: text("fast"),
+            cell: 0,
+            state: text("up"),
+            started_ms: 0,
+        }
     }
 
     fn json(&self) -> String {
@@ -243,10 +249,6 @@
     }
 }
 
-pub fn now_ms() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64
-}
-
 /// Discovery: answers with the whole list, and a watch once the list has changed.
 #[derive(Clone)]
 pub struct Discovery {
@@ -260,7 +262,11 @@
     pub fn start(instances: Vec<Instance>) -> Discovery {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
-        let discovery = Discovery { address, pace_ms: Arc::default(), list: Arc::new((Mutex::new((41, instances)), Condvar::new())) };
+        let discovery = Discovery {
+            address,
+            pace_ms: Arc::default(),
+            list: Arc::new((Mutex::new((41, instances)), Condvar::new())),
+        };
         let server = discovery.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -278,12 +284,9 @@
         self.list.1.notify_all();
     }
 
-    pub fn document(&self) -> String {
-        Self::json(&self.list.0.lock().unwrap(), true)
-    }
-
     fn json(list: &(u64, Vec<Instance>), whole: bool) -> String {
-        let entries: Vec<String> = if whole { list.1.iter().map(Instance::json).collect() } else { Vec::new() };
+        let entries: Vec<String> =
+            if whole { list.1.iter().map(Instance::json).collect() } else { Vec::new() };
         format!(r#"{{"generation":{},"reset":{whole},"instances":[{}]}}"#, list.0, entries.join(","))
     }
 
@@ -310,7 +313,10 @@
                 http::respond(&mut stream, "200 OK", "Content-Type: application/json\r\n", body.as_bytes())?;
                 continue;
             }
-            let head = format!("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n", body.len());
+            let head = format!(
+                "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
+                body.len()
+            );
             stream.write_all(head.as_bytes())?;
             let pieces = body.as_bytes().chunks(body.len().div_ceil(12));
             for piece in pieces {
@@ -350,7 +356,13 @@
     }
 
     /// A worker whose listener the case has.
-    pub fn at(name: &str, address: SocketAddr, scheduler: SocketAddr, record: &Record, on_job: Arc<OnJob>) -> Worker {
+    pub fn at(
+        name: &str,
+        address: SocketAddr,
+        scheduler: SocketAddr,
+        record: &Record,
+        on_job: Arc<OnJob>,
+    ) -> Worker {
         Worker { name: name.to_string(), address, scheduler, record: record.clone(), on_job }
     }
 
