--- a/review/stand-2/src/length.rs
+++ b/review/stand-2/src/length.rs
@@ -1,4 +1,4 @@
-//! Case 6: a few bad clients whose chunk length never ends.
+//! Case 6: twenty bad clients whose chunk length never ends.
 
 use crate::config::Config;
 use crate::http;
@@ -11,7 +11,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-const BAD_CLIENTS: usize = 5;
+const BAD_CLIENTS: usize = 20;
 /// The pages name bodies of 60 MB.
 const BAD_BODY: usize = 60_000_000;
 const RUNNING_TIME: Duration = Duration::from_millis(150);
