Limit the framing of a body, and what a stream reads in one turn

Cause: only data counted against the limit of a body, so its framing ended by a timer alone; and a stream whose input never pauses read up to 1 MiB in a turn (with the HTTP client's buffers up to 52 MB), so that one round over twenty such clients took more than half a second, and the listener accepts one connection a round.

Change: a stream reads at most 16 KiB a turn and then waits until the runtime has looked at sockets and timers; framing may take 16 KiB and eight bytes for each byte of data, and more is answered 413.

--- a/crates/vetchbridge/src/clients/body.rs
+++ b/crates/vetchbridge/src/clients/body.rs
@@ -24,12 +24,15 @@
 /// How long before the time limit for a request's arrival, after which its connection is closed, a body that
 /// is still incomplete is rejected. The client thus gets a response before the close.
 const TIMEOUT_MARGIN: Duration = Duration::from_millis(200);
+
 /// Why the body of a request was not read. The connection closes after the error response, since the rest of
 /// the body may still arrive.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub(super) enum BodyError {
     /// The body of the request is longer than [`MAX_BODY_BYTES`].
     TooLong,
+    /// The chunked body of the request has more framing than its data allows.
+    TooMuchFraming,
     /// Not enough memory is free for the bodies of this kind of request (jobs or callbacks).
     NoMemory,
     /// The body of the request did not arrive in time.
@@ -40,7 +43,7 @@
     /// Returns the status code of the response that reports this error to the client.
     fn status(self) -> StatusCode {
         match self {
-            BodyError::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
+            BodyError::TooLong | BodyError::TooMuchFraming => StatusCode::PAYLOAD_TOO_LARGE,
             BodyError::NoMemory => StatusCode::SERVICE_UNAVAILABLE,
             BodyError::Timeout => StatusCode::REQUEST_TIMEOUT,
         }
@@ -50,6 +53,7 @@
     fn text(self) -> &'static str {
         match self {
             BodyError::TooLong => "a body holds no more than 64 KiB\n",
+            BodyError::TooMuchFraming => "the framing of the body is too long; send larger chunks\n",
             BodyError::NoMemory => "no memory for the body\n",
             BodyError::Timeout => "the body did not arrive\n",
         }
@@ -83,7 +87,11 @@
     let reserve = |bytes| {
         connections.reserve_body(connection, owner, bytes).map_err(|MemoryExhausted| BodyError::NoMemory)
     };
-    let body = timeout_at(deadline, collect(body, reserve)).await.map_err(|_| BodyError::Timeout)??;
+    let collected = timeout_at(deadline, collect(body, reserve)).await.map_err(|_| BodyError::Timeout)?;
+    let body = collected.map_err(|error| match error {
+        BodyError::TooLong if connection.has_too_much_framing() => BodyError::TooMuchFraming,
+        error => error,
+    })?;
     reserve(body.len() + if owner == MemoryOwner::Jobs { JOB_BYTES } else { 0 })?;
     connection.mark_awaiting_response();
     Ok((body, connection.take_body_memory()))
--- a/crates/vetchbridge/src/clients/chunked_body.rs
+++ b/crates/vetchbridge/src/clients/chunked_body.rs
@@ -4,6 +4,11 @@
 //! The module accepts the same syntax as hyper, which reads the body after this module. The module must not
 //! treat a body as complete while hyper would continue to read it.
 
+/// Maximum number of bytes of framing (everything but the data of chunks) in a chunked body without data.
+const MAX_FRAMING_BYTES: u64 = 16 * 1024;
+/// Number of further bytes of framing that each byte of data allows. A chunk of one byte needs five.
+const FRAMING_BYTES_PER_DATA_BYTE: u64 = 8;
+
 /// The result of advancing the position in a chunked body over received bytes.
 #[derive(Debug, PartialEq, Eq)]
 pub(super) enum Progress {
@@ -16,6 +21,8 @@
     },
     /// The received bytes are not a valid continuation of a chunked body.
     Malformed,
+    /// The body has more framing than its data allows.
+    TooMuchFraming,
 }
 
 /// The part of a chunked body that the next byte belongs to.
@@ -43,12 +50,15 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) struct ChunkedBody {
     position: Position,
+    framing_bytes: u64,
+    data_bytes: u64,
 }
 
 impl ChunkedBody {
     /// Creates a chunked body of which no byte has arrived.
     pub(super) fn new() -> ChunkedBody {
-        ChunkedBody { position: Position::Size { size: 0, has_digits: false } }
+        let position = Position::Size { size: 0, has_digits: false };
+        ChunkedBody { position, framing_bytes: 0, data_bytes: 0 }
     }
 
     /// Advances the position in the chunked body over received bytes, at most to the end of the body.
@@ -59,6 +69,7 @@
                 let available = bytes.len() - offset;
                 let consumed = usize::try_from(remaining).unwrap_or(usize::MAX).min(available);
                 offset += consumed;
+                self.data_bytes += consumed as u64;
                 self.position = match remaining - consumed as u64 {
                     0 => Position::DataCarriageReturn,
                     remaining => Position::Data { remaining },
@@ -67,6 +78,10 @@
             }
             let byte = bytes[offset];
             offset += 1;
+            self.framing_bytes += 1;
+            if self.framing_bytes > self.max_framing_bytes() {
+                return Progress::TooMuchFraming;
+            }
             if self.position == (Position::TrailerLineFeed { is_empty: true }) && byte == b'\n' {
                 return Progress::Complete { length: offset };
             }
@@ -75,6 +90,10 @@
         }
         Progress::Incomplete
     }
+
+    fn max_framing_bytes(&self) -> u64 {
+        MAX_FRAMING_BYTES + self.data_bytes.saturating_mul(FRAMING_BYTES_PER_DATA_BYTE)
+    }
 }
 
 impl Position {
--- a/crates/vetchbridge/src/clients/chunked_body/tests.rs
+++ b/crates/vetchbridge/src/clients/chunked_body/tests.rs
@@ -46,3 +46,26 @@
         assert_eq!(read_in_two_pieces(body.as_bytes(), cut), Progress::Malformed, "cut at {cut}");
     }
 }
+
+/// Guards against framing without data and without an end, which a client sent at full speed until a timer
+/// ended its request.
+#[rstest]
+#[case::zeros_of_a_size("", "0")]
+#[case::blanks_after_a_size("1", " ")]
+#[case::extension("1;", "a")]
+#[case::trailers("0\r\n", "a: b\r\n")]
+fn framing_without_end_exceeds_its_limit(#[case] start: &str, #[case] repeated: &str) {
+    let mut body = ChunkedBody::new();
+    assert_eq!(body.advance(start.as_bytes()), Progress::Incomplete);
+    let piece = repeated.repeat(1024);
+    let mut pieces = (0..=MAX_FRAMING_BYTES as usize / piece.len()).map(|_| body.advance(piece.as_bytes()));
+    assert!(pieces.any(|progress| progress == Progress::TooMuchFraming));
+}
+
+/// The smallest chunks that a client can send are valid, however many of them there are.
+#[test]
+fn a_body_of_one_byte_chunks_stays_within_the_limit_of_framing() {
+    let chunks = "1\r\nx\r\n".repeat(64 * 1024);
+    let body = format!("{chunks}0\r\n\r\n");
+    assert_eq!(ChunkedBody::new().advance(body.as_bytes()), Progress::Complete { length: body.len() });
+}
--- a/crates/vetchbridge/src/clients/connection/mod.rs
+++ b/crates/vetchbridge/src/clients/connection/mod.rs
@@ -195,6 +195,11 @@
         lock_ignoring_poison(&self.state).framing.is_ambiguous
     }
 
+    /// Whether the chunked body of the current request has more framing than its data allows.
+    pub(super) fn has_too_much_framing(&self) -> bool {
+        lock_ignoring_poison(&self.state).framing.has_too_much_framing
+    }
+
     /// Whether the connection closes after the current response, because requests after the current request
     /// can't be tracked, the input after the current request can't be stored, or the connection is chosen for
     /// eviction.
--- a/crates/vetchbridge/src/clients/connection/request_stream.rs
+++ b/crates/vetchbridge/src/clients/connection/request_stream.rs
@@ -182,6 +182,9 @@
             self.read_unread(buffer);
             return Poll::Ready(Ok(()));
         }
+        if self.connection.has_too_much_framing() {
+            return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, "too much framing")));
+        }
         if self.connection.is_request_complete() {
             return self.poll_disconnected(cx);
         }
--- a/crates/vetchbridge/src/clients/framing.rs
+++ b/crates/vetchbridge/src/clients/framing.rs
@@ -71,6 +71,9 @@
     pub(super) is_ambiguous: bool,
     /// Whether the current request is a callback.
     pub(super) is_callback: bool,
+    /// Whether the chunked body of the current request has more framing than its data allows. hyper has no such
+    /// limit and would read on.
+    pub(super) has_too_much_framing: bool,
 }
 
 impl RequestFraming {
@@ -81,6 +84,7 @@
             withheld: Vec::new(),
             is_ambiguous: false,
             is_callback: false,
+            has_too_much_framing: false,
         }
     }
 
@@ -170,6 +174,11 @@
                     self.position = Position::Untracked;
                     bytes.len()
                 }
+                Progress::TooMuchFraming => {
+                    self.has_too_much_framing = true;
+                    self.position = Position::Untracked;
+                    bytes.len()
+                }
             },
             Position::Ended => 0,
             Position::Untracked => bytes.len(),
--- a/crates/vetchbridge/src/net/mod.rs
+++ b/crates/vetchbridge/src/net/mod.rs
@@ -6,6 +6,7 @@
 mod connector;
 mod retry;
 mod stream;
+mod turn;
 
 pub(crate) use body::{collect, BodyBuffer, BodyReadError};
 pub(crate) use connector::Connector;
--- a/crates/vetchbridge/src/net/stream.rs
+++ b/crates/vetchbridge/src/net/stream.rs
@@ -6,7 +6,11 @@
 //! may be short for other reasons, and then no edge follows. The runtime's stream also returns EINTR, which
 //! callers treat as a failed connection. [`RetryingStream`] clears the readiness only after EAGAIN, and
 //! retries a call that fails with EINTR.
+//!
+//! A stream reads a limited number of bytes in one turn of the runtime (see [`super::turn`]).
 
+use super::turn::Turn;
+use bytes::BufMut;
 use hyper_util::client::legacy::connect::{Connected, Connection};
 use std::io::{self, ErrorKind, IoSlice};
 use std::os::fd::{AsFd, BorrowedFd};
@@ -18,12 +22,15 @@
 /// A TCP connection that retries interrupted system calls, and that does not wait for readiness after a read
 /// or write that transferred fewer bytes than requested.
 #[derive(Debug)]
-pub(crate) struct RetryingStream(TcpStream);
+pub(crate) struct RetryingStream {
+    socket: TcpStream,
+    turn: Turn,
+}
 
 impl RetryingStream {
     /// Wraps a TCP stream of the async runtime.
-    pub(crate) fn new(stream: TcpStream) -> RetryingStream {
-        RetryingStream(stream)
+    pub(crate) fn new(socket: TcpStream) -> RetryingStream {
+        RetryingStream { socket, turn: Turn::new() }
     }
 
     /// Reads input into `buffer` and leaves it in the socket's receive buffer.
@@ -33,7 +40,7 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<usize>> {
         loop {
-            let peeked = ready!(self.0.poll_peek(cx, buffer));
+            let peeked = ready!(self.socket.poll_peek(cx, buffer));
             if !is_retried(&peeked) {
                 return Poll::Ready(peeked);
             }
@@ -42,13 +49,13 @@
 
     /// Deregisters the connection from the async runtime and returns it as the standard library's stream.
     pub(crate) fn into_std(self) -> io::Result<std::net::TcpStream> {
-        self.0.into_std()
+        self.socket.into_std()
     }
 }
 
 impl AsFd for RetryingStream {
     fn as_fd(&self) -> BorrowedFd<'_> {
-        self.0.as_fd()
+        self.socket.as_fd()
     }
 }
 
@@ -61,17 +68,23 @@
 
 impl AsyncRead for RetryingStream {
     fn poll_read(
-        self: Pin<&mut Self>,
+        mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         if buffer.remaining() == 0 {
             return Poll::Ready(Ok(()));
         }
+        let max_bytes = ready!(self.turn.poll_remaining(cx));
         loop {
-            ready!(self.0.poll_read_ready(cx))?;
-            let read = self.0.try_read_buf(buffer);
+            let Poll::Ready(readiness) = self.socket.poll_read_ready(cx) else {
+                self.turn.end();
+                return Poll::Pending;
+            };
+            readiness?;
+            let read = self.socket.try_read_buf(&mut buffer.limit(max_bytes));
             if !is_retried(&read) {
+                self.turn.spend(read.as_ref().map_or(0, |length| *length));
                 return Poll::Ready(read.map(drop));
             }
         }
@@ -81,8 +94,8 @@
 impl AsyncWrite for RetryingStream {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, data: &[u8]) -> Poll<io::Result<usize>> {
         loop {
-            ready!(self.0.poll_write_ready(cx))?;
-            let written = self.0.try_write(data);
+            ready!(self.socket.poll_write_ready(cx))?;
+            let written = self.socket.try_write(data);
             if !is_retried(&written) {
                 return Poll::Ready(written);
             }
@@ -95,8 +108,8 @@
         data: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         loop {
-            ready!(self.0.poll_write_ready(cx))?;
-            let written = self.0.try_write_vectored(data);
+            ready!(self.socket.poll_write_ready(cx))?;
+            let written = self.socket.try_write_vectored(data);
             if !is_retried(&written) {
                 return Poll::Ready(written);
             }
@@ -112,7 +125,7 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.0).poll_shutdown(cx)
+        Pin::new(&mut self.socket).poll_shutdown(cx)
     }
 }
 
--- a/crates/vetchbridge/tests/client_input.rs
+++ b/crates/vetchbridge/tests/client_input.rs
@@ -129,3 +129,19 @@
         assert_eq!(status(client.read().await.as_ref()), "200");
     }
 }
+
+/// Guards against a client whose framing never ends and kept the scheduler busy until a time limit: it is
+/// rejected after a few KiB, and another client is served beside it.
+#[rstest]
+#[case::zeros_of_a_chunk_length("", "0")]
+#[case::blanks_after_a_chunk_length("1", " ")]
+#[timeout(TEST_TIMEOUT)]
+#[tokio::test]
+async fn a_chunked_body_whose_framing_never_ends_is_rejected(#[case] start: &str, #[case] repeated: &str) {
+    let harness = Harness::start(1).await;
+    let mut client = dial(harness.daemon.address).await;
+    let head = "POST /safe/k HTTP/1.1\r\nhost: x\r\nx-trace-id: 00000000000000ab\r\ntransfer-encoding: chunked\r\n\r\n";
+    client.send(&format!("{head}{start}")).await;
+    client.send(&repeated.repeat(32 * 1024)).await;
+    assert_eq!(status(client.read().await.as_ref()), "413");
+}
