Limit the bytes of one response, whatever the response consists of

Cause: the HTTP client drops interim responses and reads on, and neither the limit of a head nor that of a body counts them or the framing of chunks, so only a timer ended such an answer.

--- a/crates/vetchbridge/src/discovery/client.rs
+++ b/crates/vetchbridge/src/discovery/client.rs
@@ -5,7 +5,7 @@
 
 use crate::discovery::document::EndpointDocument;
 use crate::discovery::partial::PartialDocument;
-use crate::net::Connector;
+use crate::net::{Connector, ResponseLimit};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::body::Incoming;
@@ -29,6 +29,8 @@
 const POOL_IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 /// Maximum length in bytes of an endpoint document.
 const MAX_DOCUMENT_BYTES: usize = 4 * 1024 * 1024;
+/// Maximum length in bytes of an endpoint document on the wire, with the framing of its chunks.
+const MAX_FRAMED_DOCUMENT_BYTES: usize = 2 * MAX_DOCUMENT_BYTES;
 
 /// The part of the endpoint list that a call to the discovery service requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -167,6 +169,9 @@
 /// Reads the endpoint document in a response of the discovery service. The error carries the parts of the
 /// document that arrived whole.
 async fn read_document(response: Response<Incoming>) -> Result<EndpointDocument, CallError> {
+    if let Some(limit) = response.extensions().get::<ResponseLimit>() {
+        limit.allow_body(MAX_FRAMED_DOCUMENT_BYTES);
+    }
     let mut text = Vec::new();
     let read = read_body(response.into_body(), &mut text).await;
     let document = read.and_then(|()| Ok(serde_json::from_slice(&text)?));
--- a/crates/vetchbridge/src/net/connector.rs
+++ b/crates/vetchbridge/src/net/connector.rs
@@ -36,6 +36,6 @@
 
     fn call(&mut self, uri: Uri) -> Self::Future {
         let dial = self.0.call(uri);
-        Box::pin(async move { Ok(TokioIo::new(RetryingStream::new(dial.await?.into_inner()))) })
+        Box::pin(async move { Ok(TokioIo::new(RetryingStream::for_requests(dial.await?.into_inner()))) })
     }
 }
--- a/crates/vetchbridge/src/net/mod.rs
+++ b/crates/vetchbridge/src/net/mod.rs
@@ -4,11 +4,17 @@
 
 mod body;
 mod connector;
+mod response_limit;
 mod retry;
 mod stream;
 mod turn;
 
 pub(crate) use body::{collect, BodyBuffer, BodyReadError};
 pub(crate) use connector::Connector;
+pub(crate) use response_limit::ResponseLimit;
 pub(crate) use retry::{retry, retry_blocking};
 pub(crate) use stream::RetryingStream;
+
+/// Maximum length in bytes of the head of a response from a worker or from discovery. The HTTP client's read
+/// buffer is limited to this length.
+pub(crate) const MAX_RESPONSE_HEAD_BYTES: usize = 8 * 1024;
--- a/crates/vetchbridge/src/net/stream.rs
+++ b/crates/vetchbridge/src/net/stream.rs
@@ -9,6 +9,7 @@
 //!
 //! A stream reads a limited number of bytes in one turn of the runtime (see [`super::turn`]).
 
+use super::response_limit::ResponseLimit;
 use super::turn::Turn;
 use bytes::BufMut;
 use hyper_util::client::legacy::connect::{Connected, Connection};
@@ -25,12 +26,41 @@
 pub(crate) struct RetryingStream {
     socket: TcpStream,
     turn: Turn,
+    /// The limit of the responses that are read; `None` if the other side sends requests.
+    response_limit: Option<ResponseLimit>,
 }
 
 impl RetryingStream {
-    /// Wraps a TCP stream of the async runtime.
+    /// Wraps a connection that another process has opened.
     pub(crate) fn new(socket: TcpStream) -> RetryingStream {
-        RetryingStream { socket, turn: Turn::new() }
+        RetryingStream { socket, turn: Turn::new(), response_limit: None }
+    }
+
+    /// Wraps a connection that this process has opened to send requests on it.
+    pub(super) fn for_requests(socket: TcpStream) -> RetryingStream {
+        RetryingStream { response_limit: Some(ResponseLimit::new()), ..RetryingStream::new(socket) }
+    }
+
+    /// Resolves to the number of bytes that may be read now.
+    fn poll_max_read(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<usize>> {
+        let turn = ready!(self.turn.poll_remaining(cx));
+        let response = self.response_limit.as_ref().map_or(Ok(turn), ResponseLimit::remaining);
+        Poll::Ready(response.map(|response| response.min(turn)))
+    }
+
+    fn record_read(&mut self, bytes: usize) {
+        self.turn.spend(bytes);
+        if let Some(limit) = &self.response_limit {
+            limit.record_read(bytes);
+        }
+    }
+
+    /// Returns the result of a write, whose bytes belong to the next request.
+    fn record_write(&self, written: io::Result<usize>) -> io::Result<usize> {
+        if let (Ok(1..), Some(limit)) = (&written, &self.response_limit) {
+            limit.start_response();
+        }
+        written
     }
 
     /// Reads input into `buffer` and leaves it in the socket's receive buffer.
@@ -75,7 +105,7 @@
         if buffer.remaining() == 0 {
             return Poll::Ready(Ok(()));
         }
-        let max_bytes = ready!(self.turn.poll_remaining(cx));
+        let max_bytes = ready!(self.poll_max_read(cx))?;
         loop {
             let Poll::Ready(readiness) = self.socket.poll_read_ready(cx) else {
                 self.turn.end();
@@ -84,8 +114,7 @@
             readiness?;
             let read = self.socket.try_read_buf(&mut buffer.limit(max_bytes));
             if !is_retried(&read) {
-                self.turn.spend(read.as_ref().map_or(0, |length| *length));
-                return Poll::Ready(read.map(drop));
+                return Poll::Ready(read.map(|bytes| self.record_read(bytes)));
             }
         }
     }
@@ -97,7 +126,7 @@
             ready!(self.socket.poll_write_ready(cx))?;
             let written = self.socket.try_write(data);
             if !is_retried(&written) {
-                return Poll::Ready(written);
+                return Poll::Ready(self.record_write(written));
             }
         }
     }
@@ -111,7 +140,7 @@
             ready!(self.socket.poll_write_ready(cx))?;
             let written = self.socket.try_write_vectored(data);
             if !is_retried(&written) {
-                return Poll::Ready(written);
+                return Poll::Ready(self.record_write(written));
             }
         }
     }
@@ -131,6 +160,12 @@
 
 impl Connection for RetryingStream {
     fn connected(&self) -> Connected {
-        Connected::new()
+        match &self.response_limit {
+            Some(limit) => Connected::new().extra(limit.clone()),
+            None => Connected::new(),
+        }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/vetchbridge/src/workers/message.rs
+++ b/crates/vetchbridge/src/workers/message.rs
@@ -2,7 +2,7 @@
 
 use super::expiry::{self, header_length, request_line_length, EXPIRES_IN_HEADER};
 use super::load_report::LOAD_REPORT_HEADER;
-use crate::net::{collect, BodyReadError};
+use crate::net::{collect, BodyReadError, ResponseLimit};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::{Body, Incoming};
@@ -17,6 +17,8 @@
 
 /// The longest body of a worker's response that is read, in bytes.
 const MAX_BODY_BYTES: usize = 64 * 1024;
+/// Maximum length in bytes of that body on the wire. A chunk of one byte of data has five bytes of framing.
+const MAX_FRAMED_BODY_BYTES: usize = 8 * MAX_BODY_BYTES;
 /// The request header that carries the id of a client's request to the worker.
 const REQUEST_ID_HEADER: &str = "x-trace-id";
 /// The request header that carries the key by which workers deduplicate retries.
@@ -118,6 +120,9 @@
 impl From<Response<Incoming>> for WorkerResponse {
     fn from(response: Response<Incoming>) -> WorkerResponse {
         let (head, body) = response.into_parts();
+        if let Some(limit) = head.extensions.get::<ResponseLimit>() {
+            limit.allow_body(MAX_FRAMED_BODY_BYTES);
+        }
         WorkerResponse { status: head.status, headers: head.headers, body }
     }
 }
--- a/crates/vetchbridge/tests/cut_answers.rs
+++ b/crates/vetchbridge/tests/cut_answers.rs
@@ -283,6 +283,45 @@
     assert_eq!(result, AttemptResult::NotServed(expected));
 }
 
+/// Guards against responses that only a timer ended: interim responses without a final one, and a body of
+/// framing alone, at full speed. The daemon closes the connection after a limited number of bytes.
+#[rstest]
+#[case::interim_responses("", "HTTP/1.1 100 Continue\r\n\r\n", Outcome::Reset)]
+#[case::head("HTTP/1.1 202 Accepted\r\n", "x: a\r\n", Outcome::Reset)]
+#[case::chunk_length("HTTP/1.1 500 No\r\ntransfer-encoding: chunked\r\n\r\n", "0", Outcome::Error)]
+#[timeout(TEST_TIMEOUT)]
+#[tokio::test]
+async fn a_response_that_never_ends_is_cut_after_a_limited_length(
+    #[case] start: &'static str,
+    #[case] repeated: &'static str,
+    #[case] expected: Outcome,
+) {
+    let fixture = Fixture::new(2 * MINUTE);
+    let worker = async {
+        let mut connection = fixture.accept().await;
+        connection.read_request().await.expect("the job");
+        spawn_blocking(move || write_without_end(connection.0, start, repeated)).await.expect("no panic")
+    };
+    let (result, written) = tokio::join!(fixture.attempt(), worker);
+    assert_eq!(result, AttemptResult::NotServed(expected));
+    assert!(written < MAX_BYTES_IN_SOCKETS, "{written} bytes were written");
+}
+
+/// More than the daemon reads of one response, and more than the kernel holds of a connection in both sockets.
+const MAX_BYTES_IN_SOCKETS: usize = 16 << 20;
+
+/// Writes until the other side closes the connection; returns the number of bytes.
+fn write_without_end(mut stream: TcpStream, start: &str, repeated: &str) -> usize {
+    let piece = repeated.repeat(4096);
+    let mut written = 0;
+    let mut result = stream.write_all(start.as_bytes());
+    while result.is_ok() && written < 2 * MAX_BYTES_IN_SOCKETS {
+        result = stream.write_all(piece.as_bytes());
+        written += piece.len();
+    }
+    written
+}
+
 /// The head of a worker's 202 response accepts the job, even if the body never ends: the connection is
 /// abandoned after a timeout, but the job goes on until it ends or is cancelled by a `DELETE` request. An
 /// informational response before the 202 does not accept the job.
