Limit the buffers of workers' responses, and count each connection at once

Cause: the HTTP client of workers held up to some 400 KB of a head for each connection. The budget counted 20 KiB for each, and their number only each 100 ms.

Change: the read buffers towards workers and discovery are limited to 8 KiB; each connection to a worker holds its memory from the start of its dial; bodies that nobody reads are dropped as they arrive, and those of probes have an owner in the budget. One loop collects the bodies of both sides.

The unit test of the capacity sets connections by reservations in place of a number, and also checks that they are given back.

--- a/crates/vetchbridge/src/clients/body.rs
+++ b/crates/vetchbridge/src/clients/body.rs
@@ -6,13 +6,12 @@
 use super::connection::ClientConnection;
 use super::connections::ClientConnections;
 use crate::memory::{MemoryExhausted, MemoryOwner, MemoryReservation};
-use crate::net::BodyBuffer;
+use crate::net::{collect, BodyReadError};
 use axum::body::{Body, HttpBody};
 use axum::http::header::CONNECTION;
 use axum::http::StatusCode;
 use axum::response::{IntoResponse, Response};
 use bytes::Bytes;
-use http_body_util::BodyExt;
 use std::fmt;
 use std::time::Duration;
 use tokio::time::timeout_at;
@@ -84,31 +83,15 @@
         return Err(BodyError::TooLong);
     }
     let deadline = connection.request_arrival_deadline() - TIMEOUT_MARGIN;
-    let reserve = |bytes| {
-        connections.reserve_body(connection, owner, bytes).map_err(|MemoryExhausted| BodyError::NoMemory)
-    };
-    let collected = timeout_at(deadline, collect(body, reserve)).await.map_err(|_| BodyError::Timeout)?;
-    let body = collected.map_err(|error| match error {
-        BodyError::TooLong if connection.has_too_much_framing() => BodyError::TooMuchFraming,
-        error => error,
+    let reserve = |bytes| connections.reserve_body(connection, owner, bytes);
+    let collected = timeout_at(deadline, collect(body, MAX_BODY_BYTES, reserve)).await;
+    let body = collected.map_err(|_| BodyError::Timeout)?.map_err(|error| match error {
+        BodyReadError::NoMemory => BodyError::NoMemory,
+        BodyReadError::Failed if connection.has_too_much_framing() => BodyError::TooMuchFraming,
+        BodyReadError::Failed | BodyReadError::TooLong => BodyError::TooLong,
     })?;
-    reserve(body.len() + if owner == MemoryOwner::Jobs { JOB_BYTES } else { 0 })?;
+    let request_bytes = if owner == MemoryOwner::Jobs { JOB_BYTES } else { 0 };
+    reserve(body.len() + request_bytes).map_err(|MemoryExhausted| BodyError::NoMemory)?;
     connection.mark_awaiting_response();
     Ok((body, connection.take_body_memory()))
 }
-
-/// Collects a body. `reserve` reserves memory for all of its bytes that have arrived so far.
-async fn collect(
-    mut body: Body,
-    reserve: impl Fn(usize) -> Result<(), BodyError>,
-) -> Result<Bytes, BodyError> {
-    let mut buffer = BodyBuffer::new(&body, MAX_BODY_BYTES);
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_| BodyError::TooLong)?;
-        let data = frame.data_ref().map_or(&[][..], |data| data);
-        let capacity = buffer.capacity_with(data.len()).map_err(|_| BodyError::TooLong)?;
-        reserve(capacity)?;
-        buffer.append(data).map_err(|_| BodyError::TooLong)?;
-    }
-    Ok(buffer.into_bytes())
-}
--- a/crates/vetchbridge/src/clients/server.rs
+++ b/crates/vetchbridge/src/clients/server.rs
@@ -71,19 +71,18 @@
 }
 
 impl ClientServer {
-    /// Creates the server of a process that may have `max_descriptors` descriptors open and use
-    /// `memory_bytes` of memory.
+    /// Creates the server of a process that may have `max_descriptors` descriptors open and share `memory`
+    /// with its other components.
     pub fn new(
         engine: Arc<Engine>,
         upstream: Arc<UpstreamGroup>,
         settings: Arc<CurrentSettings>,
         max_descriptors: usize,
-        memory_bytes: usize,
+        memory: MemoryBudget,
         lifecycle: Arc<Lifecycle>,
         process_links: Arc<ProcessLinks>,
     ) -> Arc<ClientServer> {
         let reserved_descriptors = admin::max_connections(max_descriptors);
-        let memory = MemoryBudget::new(memory_bytes);
         let budget =
             DescriptorBudget::new(max_descriptors, reserved_descriptors, upstream.connection_count());
         Arc::new(ClientServer {
@@ -179,7 +178,6 @@
         let others = self.other_processes();
         self.memory.set_other_use(OtherMemoryUse {
             other_processes: others.count,
-            worker_connections: self.upstream.connection_count().get(),
             workers: self.upstream.worker_count(),
         });
         self.connections.enforce_limits(others);
--- a/crates/vetchbridge/src/discovery/client.rs
+++ b/crates/vetchbridge/src/discovery/client.rs
@@ -5,7 +5,7 @@
 
 use crate::discovery::document::EndpointDocument;
 use crate::discovery::partial::PartialDocument;
-use crate::net::{Connector, ResponseLimit};
+use crate::net::{Connector, ResponseLimit, MAX_RESPONSE_HEAD_BYTES};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::body::Incoming;
@@ -132,6 +132,7 @@
     /// Creates a client of the discovery service that has no connections yet.
     pub(super) fn new() -> DiscoveryClient {
         let http = Client::builder(TokioExecutor::new())
+            .http1_max_buf_size(MAX_RESPONSE_HEAD_BYTES)
             .pool_idle_timeout(POOL_IDLE_TIMEOUT)
             .pool_timer(TokioTimer::new())
             .build(Connector::new(Some(CONNECT_TIMEOUT)));
--- a/crates/vetchbridge/src/memory.rs
+++ b/crates/vetchbridge/src/memory.rs
@@ -2,8 +2,7 @@
 //! take more.
 //!
 //! Memory is counted when it is taken and released when its [`MemoryReservation`] is dropped. The budget does
-//! not allocate anything. What connections to workers and the list of workers take is counted by their
-//! numbers.
+//! not allocate anything. What the list of workers takes is counted by its length.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -12,7 +11,8 @@
 
 /// Memory that each process needs for itself, in bytes: the program, the runtime and the log.
 const PROCESS_BYTES: usize = 6 * MIB;
-/// Memory for one connection to a worker, in bytes: mainly the two buffers of the HTTP client.
+/// Memory for one connection to a worker, in bytes: mainly the two buffers of the HTTP client, whose lengths
+/// are limited (see [`crate::net::MAX_RESPONSE_HEAD_BYTES`]).
 const WORKER_CONNECTION_BYTES: usize = 20 * KIB;
 /// Memory for one worker in the endpoint list, in bytes.
 const WORKER_BYTES: usize = 5 * KIB;
@@ -37,11 +37,15 @@
     Callbacks,
     /// Responses to clients that have not been sent completely.
     Responses,
+    /// Bodies of workers' responses.
+    WorkerResponses,
+    /// Connections to workers, from the start of their dials. They take from the capacity for all other owners.
+    WorkerConnections,
 }
 
 impl MemoryOwner {
     /// The number of owners.
-    const COUNT: usize = 5;
+    const COUNT: usize = 7;
 
     /// Returns the fill of the whole budget, in percent of its capacity, up to which this owner may take
     /// memory. Input that can be sent again fills the least, and what ends a job the most.
@@ -49,8 +53,8 @@
         match self {
             MemoryOwner::UnfinishedInput => 25,
             MemoryOwner::Jobs => 80,
-            MemoryOwner::ClientConnections => 90,
-            MemoryOwner::Callbacks | MemoryOwner::Responses => 100,
+            MemoryOwner::ClientConnections | MemoryOwner::WorkerResponses => 90,
+            MemoryOwner::Callbacks | MemoryOwner::Responses | MemoryOwner::WorkerConnections => 100,
         }
     }
 }
@@ -65,8 +69,6 @@
 pub struct OtherMemoryUse {
     /// Number of other processes of this scheduler, which share the memory limit.
     pub other_processes: usize,
-    /// Number of open connections to workers.
-    pub worker_connections: usize,
     /// Number of workers in the endpoint list.
     pub workers: usize,
 }
@@ -77,6 +79,13 @@
     other_use: OtherMemoryUse,
 }
 
+impl BudgetState {
+    /// Returns the number of bytes that connections to workers hold.
+    fn worker_connections(&self) -> usize {
+        self.used[MemoryOwner::WorkerConnections as usize]
+    }
+}
+
 /// The budget of a process's memory. Clones share the same budget.
 #[derive(Clone, Debug)]
 pub struct MemoryBudget {
@@ -118,19 +127,28 @@
         self.limit.saturating_sub(processes * PROCESS_BYTES) / 5 * 4 / processes
     }
 
-    /// Returns the number of bytes that all owners of reservations may hold together.
-    fn capacity(&self, other_use: OtherMemoryUse) -> usize {
-        let connections = other_use.worker_connections * WORKER_CONNECTION_BYTES;
+    /// Returns the number of bytes that all owners but connections to workers may hold together.
+    fn capacity(&self, state: &BudgetState) -> usize {
+        let other_use = state.other_use;
         let workers = other_use.workers * WORKER_BYTES;
         let minimum = self.limit / MIN_CAPACITY_DIVISOR / (1 + other_use.other_processes);
-        let available = self.process_share(other_use).saturating_sub(connections + workers);
+        let available = self.process_share(other_use).saturating_sub(state.worker_connections() + workers);
         available.max(minimum).max(MIN_CAPACITY_BYTES)
     }
 
     /// Whether `owner` may take `additional` bytes more.
     fn has_room(&self, state: &BudgetState, owner: MemoryOwner, additional: usize) -> bool {
-        let max = self.capacity(state.other_use) / 100 * owner.max_fill_percent();
-        state.used.iter().sum::<usize>() + additional <= max
+        let max = self.capacity(state) / 100 * owner.max_fill_percent();
+        let used = state.used.iter().sum::<usize>() - state.worker_connections();
+        used + additional <= max
+    }
+
+    /// Holds memory for one connection to a worker, also if too little is free: an attempt that has been decided
+    /// gets its connection.
+    pub(crate) fn hold_worker_connection(&self) -> MemoryReservation {
+        let mut reservation = self.reservation(MemoryOwner::WorkerConnections);
+        reservation.resize(WORKER_CONNECTION_BYTES);
+        reservation
     }
 
     /// Returns a reservation that holds no memory yet.
--- a/crates/vetchbridge/src/memory/tests.rs
+++ b/crates/vetchbridge/src/memory/tests.rs
@@ -6,7 +6,13 @@
 const LIMIT: usize = 32 * MIB;
 
 fn capacity(other_use: OtherMemoryUse) -> usize {
-    MemoryBudget::new(LIMIT).capacity(other_use)
+    let budget = MemoryBudget::new(LIMIT);
+    budget.set_other_use(other_use);
+    capacity_of(&budget)
+}
+
+fn capacity_of(budget: &MemoryBudget) -> usize {
+    budget.capacity(&budget.lock())
 }
 
 /// The order in which owners are refused: input that may be sent again first, callbacks last.
@@ -15,12 +21,13 @@
     let budget = MemoryBudget::new(LIMIT);
     let capacity = capacity(OtherMemoryUse::default());
     let mut fill = budget.reservation(MemoryOwner::Callbacks);
-    for (percent, refused) in [(25, 1), (80, 2), (90, 3), (100, 5)] {
+    for (percent, refused) in [(25, 1), (80, 2), (90, 4), (100, 6)] {
         fill.try_resize(capacity / 100 * percent).expect("the budget has room");
         let owners = [
             MemoryOwner::UnfinishedInput,
             MemoryOwner::Jobs,
             MemoryOwner::ClientConnections,
+            MemoryOwner::WorkerResponses,
             MemoryOwner::Callbacks,
             MemoryOwner::Responses,
         ];
@@ -38,8 +45,12 @@
     assert!(alone + PROCESS_BYTES < LIMIT * 9 / 10);
     let upgrade = OtherMemoryUse { other_processes: 1, ..OtherMemoryUse::default() };
     assert!(2 * (capacity(upgrade) + PROCESS_BYTES) < LIMIT * 9 / 10);
-    let workers = OtherMemoryUse { workers: 1000, worker_connections: 100, ..OtherMemoryUse::default() };
-    assert_eq!(capacity(workers), alone - 1000 * WORKER_BYTES - 100 * WORKER_CONNECTION_BYTES);
+    let budget = MemoryBudget::new(LIMIT);
+    budget.set_other_use(OtherMemoryUse { workers: 1000, ..OtherMemoryUse::default() });
+    let connections: Vec<_> = (0..100).map(|_| budget.hold_worker_connection()).collect();
+    assert_eq!(capacity_of(&budget), alone - 1000 * WORKER_BYTES - 100 * WORKER_CONNECTION_BYTES);
+    drop(connections);
+    assert_eq!(capacity_of(&budget), alone - 1000 * WORKER_BYTES);
     let many = OtherMemoryUse { workers: 1_000_000, ..OtherMemoryUse::default() };
     assert_eq!(capacity(many), LIMIT / MIN_CAPACITY_DIVISOR);
     let tiny = MemoryBudget::new(0);
@@ -63,6 +74,7 @@
         Just(MemoryOwner::Jobs),
         Just(MemoryOwner::Callbacks),
         Just(MemoryOwner::Responses),
+        Just(MemoryOwner::WorkerResponses),
     ];
     prop_oneof![
         (0..LIMIT).prop_map(Step::TryResize),
--- a/crates/vetchbridge/src/net/body/tests.rs
+++ b/crates/vetchbridge/src/net/body/tests.rs
@@ -50,10 +50,21 @@
 /// The error tells a body that is too long from one that can't be read.
 #[tokio::test]
 async fn a_body_of_the_maximum_length_is_collected_and_a_longer_one_is_not() {
-    let whole = collect(chunked(&[vec![1; MAX_BYTES - 1], vec![2]]), MAX_BYTES).await;
+    let whole = collect(chunked(&[vec![1; MAX_BYTES - 1], vec![2]]), MAX_BYTES, |_| Ok(())).await;
     assert_eq!(whole.expect("it fits").len(), MAX_BYTES);
-    let too_long = collect(chunked(&[vec![1; MAX_BYTES], vec![2]]), MAX_BYTES).await;
+    let too_long = collect(chunked(&[vec![1; MAX_BYTES], vec![2]]), MAX_BYTES, |_| Ok(())).await;
     assert_eq!(too_long, Err(BodyReadError::TooLong));
     let failing = StreamBody::new(futures_util::stream::iter([Err::<Frame<Bytes>, &str>("reset")]));
-    assert_eq!(collect(failing, MAX_BYTES).await, Err(BodyReadError::Failed));
+    assert_eq!(collect(failing, MAX_BYTES, |_| Ok(())).await, Err(BodyReadError::Failed));
+}
+
+/// The error tells a body for which no memory is free, and memory is asked for before it is taken.
+#[tokio::test]
+async fn a_body_is_collected_only_as_far_as_memory_is_free() {
+    let reserve = |bytes| if bytes <= 2 * GROWTH_BYTES { Ok(()) } else { Err(MemoryExhausted) };
+    let chunk = vec![1; GROWTH_BYTES];
+    let fitting = collect(chunked(&[chunk.clone(), chunk.clone()]), MAX_BYTES, reserve).await;
+    assert_eq!(fitting.expect("it fits").len(), 2 * GROWTH_BYTES);
+    let too_large = collect(chunked(&[chunk.clone(), chunk.clone(), chunk]), MAX_BYTES, reserve).await;
+    assert_eq!(too_large, Err(BodyReadError::NoMemory));
 }
--- a/crates/vetchbridge/src/net/mod.rs
+++ b/crates/vetchbridge/src/net/mod.rs
@@ -9,7 +9,7 @@
 mod stream;
 mod turn;
 
-pub(crate) use body::{collect, BodyBuffer, BodyReadError};
+pub(crate) use body::{collect, discard, BodyReadError};
 pub(crate) use connector::Connector;
 pub(crate) use response_limit::ResponseLimit;
 pub(crate) use retry::{retry, retry_blocking};
--- a/crates/vetchbridge/src/serve/startup.rs
+++ b/crates/vetchbridge/src/serve/startup.rs
@@ -13,6 +13,7 @@
 use crate::engine::Engine;
 use crate::lifecycle::clock::Lifecycle;
 use crate::logs::Logs;
+use crate::memory::MemoryBudget;
 use crate::peers::{self, OutgoingMessage};
 use crate::snapshot::{CurrentSettings, SettingsSnapshot};
 use crate::upgrade::process_links::ProcessLinks;
@@ -84,11 +85,13 @@
     let (discovery_requests, queued_discovery_requests) = unbounded_channel();
     let (datagrams, queued_datagrams) = unbounded_channel();
     let max_sockets = config.max_sockets;
+    let memory = MemoryBudget::new(config.max_memory);
     let scheduler = Scheduler::new(config.settings_snapshot.settings.clone(), config.seed)?;
     let shared = SharedState::new(
         scheduler,
         config.settings_snapshot,
         max_sockets,
+        memory.clone(),
         discovery_requests.clone(),
         datagrams,
     );
@@ -101,7 +104,7 @@
     });
     let list_confirmed =
         start_discovery(config.endpoint_source, initial_endpoints, &shared, queued_discovery_requests);
-    let client_server = shared.client_server(max_sockets, config.max_memory, &lifecycle, &process_links);
+    let client_server = shared.client_server(max_sockets, memory, &lifecycle, &process_links);
     tokio::spawn(client_server.clone().serve(client_listener));
     let handover_server = Arc::new(HandoverServer {
         name: config.name,
@@ -161,12 +164,14 @@
         scheduler: Scheduler,
         snapshot: SettingsSnapshot,
         max_sockets: usize,
+        memory: MemoryBudget,
         discovery_requests: UnboundedSender<DiscoveryRequest>,
         datagrams: UnboundedSender<OutgoingMessage>,
     ) -> SharedState {
         let dial_timeout = Duration::from_micros(snapshot.settings.limits.dial_timeout);
         let max_probes = (max_sockets / DESCRIPTORS_PER_PROBE).max(1);
-        let upstream = Arc::new(UpstreamGroup::new(dial_timeout, snapshot.worker_idle_timeout, max_probes));
+        let upstream = UpstreamGroup::new(dial_timeout, snapshot.worker_idle_timeout, max_probes);
+        let upstream = Arc::new(upstream.with_memory_budget(memory));
         upstream.set_load_report_settings(snapshot.load_reports);
         let engine = Engine::new(scheduler, upstream.clone(), discovery_requests, datagrams);
         let current_settings = Arc::new(CurrentSettings::new(snapshot));
@@ -176,7 +181,7 @@
     fn client_server(
         &self,
         max_sockets: usize,
-        max_memory: usize,
+        memory: MemoryBudget,
         lifecycle: &Arc<Lifecycle>,
         process_links: &Arc<ProcessLinks>,
     ) -> Arc<ClientServer> {
@@ -185,7 +190,7 @@
             self.upstream.clone(),
             self.current_settings.clone(),
             max_sockets,
-            max_memory,
+            memory,
             lifecycle.clone(),
             process_links.clone(),
         )
--- a/crates/vetchbridge/src/workers/client.rs
+++ b/crates/vetchbridge/src/workers/client.rs
@@ -5,7 +5,8 @@
 use super::connection_count::ConnectionCount;
 use super::dial::Dialer;
 use super::group::Timeouts;
-use crate::net::Connector;
+use crate::memory::MemoryBudget;
+use crate::net::{Connector, MAX_RESPONSE_HEAD_BYTES};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper_util::client::legacy::Client;
@@ -27,18 +28,24 @@
 }
 
 impl WorkerClient {
-    /// Creates a worker's client without connections. `total_count` counts the connections to all workers.
-    pub(super) fn new(timeouts: Timeouts, total_count: ConnectionCount) -> WorkerClient {
+    /// Creates a worker's client without connections. `total_count` counts the connections to all workers, and
+    /// `memory` their memory.
+    pub(super) fn new(
+        timeouts: Timeouts,
+        total_count: ConnectionCount,
+        memory: MemoryBudget,
+    ) -> WorkerClient {
         let connector = Connector::new(Some(timeouts.dial).filter(|timeout| !timeout.is_zero()));
         let connection_count = ConnectionCount::default();
         let http = Client::builder(TokioExecutor::new())
             // The HTTP client must not retry by itself: only the decision module retries, and it must know of
             // every attempt.
             .retry_canceled_requests(false)
+            .http1_max_buf_size(MAX_RESPONSE_HEAD_BYTES)
             .pool_idle_timeout(timeouts.idle)
             .pool_max_idle_per_host(MAX_IDLE_PER_WORKER)
             .pool_timer(TokioTimer::new())
-            .build(Dialer::new(connector, [total_count, connection_count.clone()]));
+            .build(Dialer::new(connector, [total_count, connection_count.clone()], memory));
         WorkerClient { http, connection_count, last_used: Instant::now() }
     }
 
--- a/crates/vetchbridge/src/workers/connection.rs
+++ b/crates/vetchbridge/src/workers/connection.rs
@@ -8,6 +8,7 @@
 use super::expiry::ExpiryHeader;
 use super::lock_ignoring_poison;
 use super::permission::SendPermission;
+use crate::memory::MemoryReservation;
 use crate::net::RetryingStream;
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::client::legacy::connect::{Connected, Connection};
@@ -103,12 +104,19 @@
     meter: WriteMeter,
     reuse_delay: Option<Pin<Box<Sleep>>>,
     _guards: [ConnectionGuard; 2],
+    _memory: MemoryReservation,
 }
 
 impl WorkerConnection {
-    /// Creates a connection that stays counted in the connection counts for as long as it holds these guards.
-    pub(super) fn new(io: TokioIo<RetryingStream>, guards: [ConnectionGuard; 2]) -> WorkerConnection {
-        WorkerConnection { io, meter: WriteMeter::default(), reuse_delay: None, _guards: guards }
+    /// Creates a connection that stays counted in the connection counts and in the memory budget for as long
+    /// as it holds these guards and this reservation.
+    pub(super) fn new(
+        io: TokioIo<RetryingStream>,
+        guards: [ConnectionGuard; 2],
+        memory: MemoryReservation,
+    ) -> WorkerConnection {
+        let meter = WriteMeter::default();
+        WorkerConnection { io, meter, reuse_delay: None, _guards: guards, _memory: memory }
     }
 
     /// Resolves when bytes may be written to the connection. An error before a request's first byte means
--- a/crates/vetchbridge/src/workers/dial.rs
+++ b/crates/vetchbridge/src/workers/dial.rs
@@ -2,6 +2,7 @@
 
 use super::connection::WorkerConnection;
 use super::connection_count::ConnectionCount;
+use crate::memory::MemoryBudget;
 use crate::net::Connector;
 use hyper::Uri;
 use std::future::Future;
@@ -15,12 +16,14 @@
     connector: Connector,
     /// The count of the connections to all workers, and the count of the connections to this worker.
     counts: [ConnectionCount; 2],
+    /// The budget in which the memory of each connection is counted.
+    memory: MemoryBudget,
 }
 
 impl Dialer {
-    /// Creates a dialer that registers each connection with both counts.
-    pub(super) fn new(connector: Connector, counts: [ConnectionCount; 2]) -> Dialer {
-        Dialer { connector, counts }
+    /// Creates a dialer that registers each connection with both counts and with the memory budget.
+    pub(super) fn new(connector: Connector, counts: [ConnectionCount; 2], memory: MemoryBudget) -> Dialer {
+        Dialer { connector, counts, memory }
     }
 }
 
@@ -36,6 +39,7 @@
     fn call(&mut self, uri: Uri) -> Self::Future {
         let dial = self.connector.call(uri);
         let guards = self.counts.each_ref().map(ConnectionCount::register);
-        Box::pin(async move { Ok(WorkerConnection::new(dial.await?, guards)) })
+        let memory = self.memory.hold_worker_connection();
+        Box::pin(async move { Ok(WorkerConnection::new(dial.await?, guards, memory)) })
     }
 }
--- a/crates/vetchbridge/src/workers/group.rs
+++ b/crates/vetchbridge/src/workers/group.rs
@@ -6,6 +6,7 @@
 use super::endpoint::{Availability, Worker, WorkerEndpoint};
 use super::load_report::LoadReportSettings;
 use super::lock_ignoring_poison;
+use crate::memory::MemoryBudget;
 use hyper::http::uri::Authority;
 use std::collections::{HashMap, HashSet};
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -32,6 +33,8 @@
     /// probe may use a file descriptor.
     pub(super) probe_permits: Semaphore,
     connection_count: ConnectionCount,
+    /// The budget in which connections to workers and their responses are counted.
+    pub(super) memory: MemoryBudget,
     /// The number of connections to workers beyond which idle connections are closed.
     max_connections: AtomicUsize,
 }
@@ -74,10 +77,18 @@
             load_report_settings: Mutex::default(),
             probe_permits: Semaphore::new(max_probes),
             connection_count: ConnectionCount::default(),
+            memory: MemoryBudget::new(usize::MAX),
             max_connections: AtomicUsize::new(usize::MAX),
         }
     }
 
+    /// Returns this group with a limit on the memory that its connections share with other owners. Without
+    /// this call, the memory is unlimited.
+    #[must_use]
+    pub fn with_memory_budget(self, memory: MemoryBudget) -> UpstreamGroup {
+        UpstreamGroup { memory, ..self }
+    }
+
     /// Sets which load reports of workers are used and how they are interpreted. Until this call, every load
     /// report is ignored.
     pub fn set_load_report_settings(&self, settings: LoadReportSettings) {
@@ -220,6 +231,7 @@
     }
 
     fn new_client(&self) -> WorkerClient {
-        WorkerClient::new(*lock_ignoring_poison(&self.timeouts), self.connection_count.clone())
+        let timeouts = *lock_ignoring_poison(&self.timeouts);
+        WorkerClient::new(timeouts, self.connection_count.clone(), self.memory.clone())
     }
 }
--- a/crates/vetchbridge/src/workers/message.rs
+++ b/crates/vetchbridge/src/workers/message.rs
@@ -2,7 +2,8 @@
 
 use super::expiry::{self, header_length, request_line_length, EXPIRES_IN_HEADER};
 use super::load_report::LOAD_REPORT_HEADER;
-use crate::net::{collect, BodyReadError, ResponseLimit};
+use crate::memory::MemoryReservation;
+use crate::net::{collect, discard, BodyReadError, ResponseLimit};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::{Body, Incoming};
@@ -138,21 +139,21 @@
         self.headers.get(LOAD_REPORT_HEADER).map(axum::http::HeaderValue::as_bytes)
     }
 
-    /// Reads the whole body of the worker's response. Returns an empty body if the body is longer than
-    /// [`MAX_BODY_BYTES`], and `None` if the connection failed.
-    pub(super) async fn read_body(&mut self) -> Option<Bytes> {
-        match collect(&mut self.body, MAX_BODY_BYTES).await {
+    /// Reads the whole body of the worker's response, which `memory` holds. Returns an empty body if the body is
+    /// longer than [`MAX_BODY_BYTES`] or too little memory is free, and `None` if the connection failed.
+    pub(super) async fn read_body(&mut self, memory: &mut MemoryReservation) -> Option<Bytes> {
+        match collect(&mut self.body, MAX_BODY_BYTES, |bytes| memory.try_resize(bytes)).await {
             Ok(body) => Some(body),
-            Err(BodyReadError::TooLong) => Some(Bytes::new()),
+            Err(BodyReadError::TooLong | BodyReadError::NoMemory) => Some(Bytes::new()),
             Err(BodyReadError::Failed) => None,
         }
     }
 
     /// Reads and discards the body of the worker's response in the background. The connection can be reused
     /// when the body has been read.
-    pub(super) fn drain_body(mut self) {
+    pub(super) fn drain_body(self) {
         if !self.body.is_end_stream() {
-            tokio::spawn(timeout(BACKGROUND_READ_TIMEOUT, async move { drop(self.read_body().await) }));
+            tokio::spawn(timeout(BACKGROUND_READ_TIMEOUT, discard(self.body, MAX_BODY_BYTES)));
         }
     }
 }
--- a/crates/vetchbridge/src/workers/probe.rs
+++ b/crates/vetchbridge/src/workers/probe.rs
@@ -5,6 +5,7 @@
 use super::group::UpstreamGroup;
 use super::message::{WorkerRequest, WorkerResponse};
 use super::permission::SendPermission;
+use crate::memory::{MemoryOwner, MemoryReservation};
 use bytes::Bytes;
 use hyper::StatusCode;
 use std::time::Duration;
@@ -38,7 +39,8 @@
         let permission = SendPermission::while_available(availability.clone());
         let exchange = worker.exchange(&WorkerRequest::Probe, permission);
         self.evict_idle_connections();
-        match read_response(exchange, availability, deadline).await {
+        let mut memory = self.memory.reservation(MemoryOwner::WorkerResponses);
+        match read_response(exchange, availability, deadline, &mut memory).await {
             Ok(response) => self.probe_result(response),
             Err(outcome) => (outcome, None),
         }
@@ -63,12 +65,13 @@
     exchange: Exchange,
     mut availability: watch::Receiver<Availability>,
     deadline: Instant,
+    memory: &mut MemoryReservation,
 ) -> Result<ProbeResponse, Outcome> {
     let Exchange { progress, response } = exchange;
     let timeout = tokio::time::sleep_until(deadline);
     let response = async {
         let mut response = response.await?;
-        let body = response.read_body().await;
+        let body = response.read_body(memory).await;
         Ok((response, body))
     };
     tokio::pin!(timeout, response);
--- a/crates/vetchbridge/tests/memory_limits.rs
+++ b/crates/vetchbridge/tests/memory_limits.rs
@@ -8,6 +8,7 @@
 use rstest::rstest;
 use rustix::process::{getrlimit, setrlimit, Resource, Rlimit};
 use serde_json::json;
+use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::Arc;
@@ -37,12 +38,19 @@
 
 impl MemoryTest {
     async fn start() -> MemoryTest {
+        MemoryTest::start_with_worker(run_worker).await
+    }
+
+    /// Starts the daemon with workers that run the future that `worker` returns for each of them.
+    async fn start_with_worker<F: Future<Output = ()> + Send + 'static>(
+        worker: impl Fn(TcpListener, usize, SocketAddr) -> F,
+    ) -> MemoryTest {
         allow_all_descriptors();
         let limits = json!({"memory_mb": MEMORY_MIB, "sockets": SOCKETS});
         let mut harness = Harness::start_with_limits(4, limits).await;
         let mut background = JoinSet::new();
         for (number, listener) in harness.workers.drain(..).enumerate() {
-            background.spawn(run_worker(listener, number, harness.daemon.address));
+            background.spawn(worker(listener, number, harness.daemon.address));
         }
         let peak_kib = Arc::new(AtomicUsize::new(0));
         background.spawn(record_peak_memory(harness.daemon.child.id(), peak_kib.clone()));
@@ -175,6 +183,31 @@
     assert!(peaks[0] > 0 && peaks[1] * 4 <= peaks[0] * 5, "{peaks:?} KiB with one chunk and with 60,000");
 }
 
+/// Guards against a buffer without a limit: of a worker's response whose head never ends, up to 400 KB were held
+/// for each connection, which counted as 20 KiB. Each of many jobs at once gets its answer.
+#[rstest]
+#[timeout(TEST_TIMEOUT)]
+#[tokio::test]
+async fn responses_of_workers_whose_heads_never_end_stay_within_the_limit() {
+    const JOBS: usize = 300;
+    let test = MemoryTest::start_with_worker(run_worker_with_endless_heads).await;
+    let mut clients = JoinSet::new();
+    for number in 0..JOBS {
+        let address = test.harness.daemon.address;
+        clients.spawn(async move {
+            let mut connection = dial(address).await;
+            let headers = format!("X-Trace-Id: {number:016x}\r\nX-Expires-In: 10000m\r\n");
+            connection.post(&format!("/safe/k{number}"), &headers, "x").await.expect("the daemon reads");
+            connection.read().await.is_some()
+        });
+    }
+    let answered = clients.join_all().await.into_iter().filter(|is_answered| *is_answered).count();
+    let (peak_kib, limit_kib) = (test.peak_kib(), MEMORY_MIB * 1024);
+    println!("{answered} of {JOBS} jobs answered, peak {peak_kib} KiB");
+    assert_eq!(answered, JOBS);
+    assert!(peak_kib > 0 && peak_kib <= limit_kib, "{peak_kib} KiB of {limit_kib} KiB");
+}
+
 /// Sends jobs one after the other on one connection, all clients at the same time, until `finished` is set.
 /// Returns how many jobs were served and how many were rejected; a rejected client connects again.
 async fn submit_jobs(
@@ -225,15 +258,48 @@
         connections.spawn(async move {
             while let Some(job) = jobs.read().await {
                 let id = job.header("x-trace-id").expect("a job has an id").to_string();
-                jobs.send(ACCEPTED).await;
-                let callback = json!({"id": id, "from": format!("s-{number}"), "state": "done",
-                                      "result": "r".repeat(RESULT_BYTES)});
-                tokio::spawn(send_until_acknowledged(daemon, callback.to_string()));
+                accept_and_complete(&mut jobs, id, number, daemon).await;
+            }
+        });
+    }
+}
+
+/// Works as [`run_worker`] does, but answers one job in three with a head of which 360 KB come at once and one
+/// more line each 5 ms, until the daemon closes the connection.
+async fn run_worker_with_endless_heads(listener: TcpListener, number: usize, daemon: SocketAddr) {
+    let mut connections = JoinSet::new();
+    loop {
+        let mut jobs = HttpConnection::new(listener.accept().await.expect("a connection").0);
+        connections.spawn(async move {
+            while let Some(job) = jobs.read().await {
+                let id = job.header("x-trace-id").expect("a job has an id").to_string();
+                if u64::from_str_radix(&id, 16).expect("an id") % 3 == 0 {
+                    return write_endless_head(jobs).await;
+                }
+                accept_and_complete(&mut jobs, id, number, daemon).await;
             }
         });
     }
 }
 
+async fn write_endless_head(mut connection: HttpConnection) {
+    let line = format!("X-Filler: {}\r\n", "a".repeat(4000));
+    let mut written = connection.write(&format!("HTTP/1.1 202 Accepted\r\n{}", line.repeat(90))).await;
+    while written.is_ok() {
+        tokio::time::sleep(SAMPLE_INTERVAL).await;
+        written = connection.write("X-Filler: a\r\n").await;
+    }
+}
+
+/// Accepts a job, and sends a long result in its callback.
+async fn accept_and_complete(jobs: &mut HttpConnection, id: String, number: usize, daemon: SocketAddr) {
+    // The daemon may have closed the connection.
+    let _ = jobs.write(ACCEPTED).await;
+    let callback = json!({"id": id, "from": format!("s-{number}"), "state": "done",
+                          "result": "r".repeat(RESULT_BYTES)});
+    tokio::spawn(send_until_acknowledged(daemon, callback.to_string()));
+}
+
 /// Sends a callback again until the daemon acknowledges it, as workers do.
 async fn send_until_acknowledged(daemon: SocketAddr, callback: String) {
     loop {
