Read slow answers of discovery to their end, and expire an old list

Cause: an answer was given up 0.25 s after its head, however steadily it came, and the next call began from zero. Nothing asked how old the list was.

Change: a slow answer is read on while it makes progress, its entries are used as they arrive, and the next call is made beside it. While answers are slow, a list whose latest answer began over 6 s ago is expired: the module queues jobs, and the check before the first byte denies attempts.

--- a/crates/scheduling/src/endpoint_refresh.rs
+++ b/crates/scheduling/src/endpoint_refresh.rs
@@ -2,7 +2,7 @@
 //! and keeps track of whether discovery has confirmed a restored endpoint list.
 
 use crate::actions::Action;
-use crate::events::{Endpoint, EndpointUpdate};
+use crate::events::{Endpoint, EndpointUpdate, ListAge};
 use crate::ids::Micros;
 use crate::scheduler::Scheduler;
 use crate::settings::EndpointDelivery;
@@ -46,25 +46,26 @@
     /// Time until which jobs wait for discovery to confirm a restored endpoint list; 0 if the list is
     /// confirmed.
     unconfirmed_until: Micros,
+    list_age: ListAge,
 }
 
 impl EndpointRefresh {
-    /// Records an update of the endpoint list. A failed poll of discovery or a renumbered list changes
-    /// nothing. Any other update counts as a response: the update resets the number of polls, and confirms
+    /// Records an update of the endpoint list. A failed poll of discovery, a part of a response or a
+    /// renumbered list changes nothing. Any other update counts as a response: the update resets the number of polls, and confirms
     /// the endpoint list unless the update is a restored list.
     pub(crate) fn record_update(&mut self, now: Micros, update: EndpointUpdate) {
-        if matches!(update, EndpointUpdate::Failed | EndpointUpdate::Renumbered) {
+        if matches!(update, EndpointUpdate::Failed | EndpointUpdate::Partial | EndpointUpdate::Renumbered) {
             return;
         }
         let is_restored = update == EndpointUpdate::Restored;
         let unconfirmed_until = if is_restored { now + LIST_CONFIRMATION_TIMEOUT } else { 0 };
-        *self = EndpointRefresh { unconfirmed_until, ..EndpointRefresh::default() };
+        *self = EndpointRefresh { unconfirmed_until, list_age: self.list_age, ..EndpointRefresh::default() };
     }
 
-    /// Whether jobs have to wait because the endpoint list was restored and discovery has not confirmed the
-    /// list yet.
+    /// Whether jobs have to wait, because the endpoint list was restored and discovery has not confirmed the
+    /// list yet, or because the list is outdated.
     pub(crate) fn is_unconfirmed(&self, now: Micros) -> bool {
-        now < self.unconfirmed_until
+        now < self.unconfirmed_until || self.list_age == ListAge::Outdated
     }
 
     /// Schedules the next poll of discovery after an update of the endpoint list, and returns the time of the
@@ -122,6 +123,18 @@
         if self.settings.endpoint_delivery == EndpointDelivery::Poll && update.needs_poll() {
             self.schedule_poll(now, update, actions);
         }
+        self.place_queued(now, actions);
+    }
+
+    /// Records whether the endpoint list may be used, and places the queued requests if it may.
+    pub(crate) fn on_list_age(&mut self, now: Micros, age: ListAge, actions: &mut Vec<Action>) {
+        self.endpoint_refresh.list_age = age;
+        if age == ListAge::Current {
+            self.place_queued(now, actions);
+        }
+    }
+
+    fn place_queued(&mut self, now: Micros, actions: &mut Vec<Action>) {
         for id in self.requests.queued_ids() {
             self.place(now, id, actions);
         }
--- a/crates/scheduling/src/endpoint_refresh/tests.rs
+++ b/crates/scheduling/src/endpoint_refresh/tests.rs
@@ -8,7 +8,7 @@
     refresh.record_update(NOW, EndpointUpdate::Restored);
     assert!(refresh.is_unconfirmed(NOW + LIST_CONFIRMATION_TIMEOUT - 1));
     assert!(!refresh.is_unconfirmed(NOW + LIST_CONFIRMATION_TIMEOUT));
-    for update in [EndpointUpdate::Failed, EndpointUpdate::Renumbered] {
+    for update in [EndpointUpdate::Failed, EndpointUpdate::Partial, EndpointUpdate::Renumbered] {
         refresh.record_update(NOW, update);
         assert!(refresh.is_unconfirmed(NOW), "{update:?} is not a response of discovery");
     }
@@ -16,6 +16,17 @@
     assert!(!refresh.is_unconfirmed(NOW));
 }
 
+/// A response does not make the list current by itself: the response may have taken too long to arrive.
+#[test]
+fn an_outdated_list_is_unconfirmed_until_it_is_current_again() {
+    let mut refresh = EndpointRefresh::default();
+    refresh.list_age = ListAge::Outdated;
+    refresh.record_update(NOW, EndpointUpdate::Changes);
+    assert!(refresh.is_unconfirmed(NOW));
+    refresh.list_age = ListAge::Current;
+    assert!(!refresh.is_unconfirmed(NOW));
+}
+
 #[test]
 fn first_polls_are_spread_by_the_number_of_schedulers() {
     for (schedulers, random, pause) in
@@ -47,7 +58,8 @@
 
 #[test]
 fn a_poll_that_took_long_to_fail_is_followed_by_a_short_pause() {
-    let mut refresh = EndpointRefresh { polls_since_response: 9, last_poll: NOW, unconfirmed_until: 0 };
+    let mut refresh =
+        EndpointRefresh { polls_since_response: 9, last_poll: NOW, ..EndpointRefresh::default() };
     let failed_at = NOW + 10_000_000;
     let at = refresh.schedule_poll(failed_at, EndpointUpdate::Failed, 300, 0.5);
     assert_eq!(at - failed_at, MAX_PAUSE_AFTER_FAILURE);
--- a/crates/scheduling/src/events.rs
+++ b/crates/scheduling/src/events.rs
@@ -53,6 +53,9 @@
     /// A subscription at discovery or a fetch from discovery failed. The entries are those that arrived
     /// before the failure; the rest of the endpoint list stays as it was.
     Failed,
+    /// Entries of a response of discovery whose end has not arrived yet; the rest of the endpoint list stays as
+    /// it was. The update is no response: the end of the response follows as another update, if it arrives.
+    Partial,
     /// The endpoint list that the scheduler already has, with zones and machine types numbered by new
     /// settings. The update is not a response of discovery.
     Renumbered,
@@ -80,6 +83,17 @@
     }
 }
 
+/// Whether the endpoint list may be used to send requests.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ListAge {
+    /// The endpoint list may be used.
+    #[default]
+    Current,
+    /// Discovery can be reached, but its latest response is so old that workers may have begun to drain long
+    /// ago. Requests wait for a newer response.
+    Outdated,
+}
+
 /// A request from a client.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Request {
@@ -187,6 +201,8 @@
         /// The entries of the endpoint list that the update contains.
         endpoints: Vec<Endpoint>,
     },
+    /// The endpoint list has become too old to be used, or may be used again.
+    ListAge(ListAge),
     /// A client's request has arrived. The scheduler gives the request exactly one final answer.
     Request(Request),
     /// An attempt has ended. This event comes exactly once for each [`Action::Send`](crate::Action::Send).
--- a/crates/scheduling/src/scheduler.rs
+++ b/crates/scheduling/src/scheduler.rs
@@ -55,6 +55,7 @@
     pub fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
         match event {
             Event::Endpoints { update, endpoints } => self.on_endpoints(now, update, endpoints, actions),
+            Event::ListAge(age) => self.on_list_age(now, age, actions),
             Event::Request(request) => self.on_request(now, &request, actions),
             Event::AttemptFinished {
                 request,
--- a/crates/vetchbridge/src/discovery/watcher.rs
+++ b/crates/vetchbridge/src/discovery/watcher.rs
@@ -11,12 +11,16 @@
 //! service's address. The watcher never replaces the list by an unreadable list, and never compares the
 //! generations of two services.
 
+use crate::discovery::answer::{Answer, SlowProgress};
 use crate::discovery::client::{CallError, DiscoveryClient, Query};
 use crate::discovery::document::{EndpointDocument, EndpointSource, Instance};
 use crate::discovery::endpoint_list::EndpointList;
+use crate::discovery::freshness::{ListFreshness, Pace};
+use crate::discovery::leaving::LeavingWorkers;
 use crate::discovery::partial::PartialDocument;
 use crate::discovery::request::DiscoveryRequest;
 use crate::discovery::schedule::{CallOutcome, DiscoverySchedule, RESPONSE_TIMEOUT};
+use crate::discovery::slow_answers::{SlowAnswers, SlowCallProgress};
 use crate::engine::Engine;
 use crate::snapshot::CurrentSettings;
 use crate::workers::{UpstreamGroup, WorkerEndpoint};
@@ -28,7 +32,7 @@
 use tokio::sync::watch;
 use tokio::time::{sleep_until, Instant};
 use tracing::{debug, info, warn};
-use vetchbridge_scheduling::{Endpoint, EndpointState, EndpointUpdate, Event};
+use vetchbridge_scheduling::{Endpoint, EndpointState, EndpointUpdate, Event, ListAge};
 
 /// The endpoint list that the process has at its start.
 pub struct InitialEndpoints {
@@ -50,14 +54,14 @@
     /// When the call to the discovery service is to be hedged by a second call; `None` if the call is not
     /// hedged.
     hedge_at: Option<Instant>,
-    result: Pin<Box<dyn Future<Output = Result<EndpointDocument, CallError>> + Send>>,
+    result: Pin<Box<dyn Future<Output = Result<Answer, CallError>> + Send>>,
 }
 
 /// The result of a finished call to the discovery service.
 struct CallResult {
     /// The generation of the watcher's endpoint list when the call to the discovery service was made.
     base_generation: Option<u64>,
-    result: Result<EndpointDocument, CallError>,
+    result: Result<Answer, CallError>,
 }
 
 /// Keeps the daemon's endpoint list up to date from one source at a time, and publishes each update of the
@@ -80,6 +84,11 @@
     /// hedge may outlive the watch call.
     hedge: Option<Call>,
     fetch: Option<Call>,
+    slow_answers: SlowAnswers,
+    leaving: LeavingWorkers,
+    freshness: ListFreshness,
+    /// What the decision module knows of the age of the endpoint list.
+    list_age: ListAge,
 }
 
 impl EndpointWatcher {
@@ -106,6 +115,10 @@
             watch: None,
             hedge: None,
             fetch: None,
+            slow_answers: SlowAnswers::default(),
+            leaving: LeavingWorkers::default(),
+            freshness: ListFreshness::new(Instant::now()),
+            list_age: ListAge::Current,
         };
         watcher.endpoint_list().change_source(&watcher.source);
         watcher.publish_initial(initial);
@@ -141,6 +154,9 @@
             let delivery = self.settings.get().settings.endpoint_delivery;
             self.schedule.update_reopening(self.watch.is_some(), delivery);
             let hedge_at = self.watch.as_ref().and_then(|watch| watch.hedge_at);
+            let expires_at = self.freshness.expires_at();
+            self.upstream.set_list_expiry(expires_at);
+            self.update_list_age(expires_at);
             tokio::select! {
                 () = wait_until(self.schedule.reopen_at()) => self.open_watch(),
                 request = requests.recv() => match request {
@@ -151,6 +167,8 @@
                 call_result = wait_for_result(&mut self.watch) => self.handle_watch_result(call_result),
                 call_result = wait_for_result(&mut self.hedge) => self.handle_hedge_result(call_result),
                 call_result = wait_for_result(&mut self.fetch) => self.handle_fetch_result(call_result),
+                Some(slow) = self.slow_answers.next() => self.handle_slow_progress(slow),
+                () = wait_until(expires_at), if self.list_age == ListAge::Current => {}
             }
         }
     }
@@ -161,7 +179,10 @@
             // already.
             DiscoveryRequest::Subscribe if self.watch.is_some() => {}
             DiscoveryRequest::Subscribe => self.open_watch(),
-            DiscoveryRequest::Unsubscribe => (self.watch, self.hedge) = (None, None),
+            DiscoveryRequest::Unsubscribe => {
+                (self.watch, self.hedge) = (None, None);
+                self.slow_answers.clear();
+            }
             DiscoveryRequest::Fetch => self.fetch = Some(self.call_for_complete_list()),
             DiscoveryRequest::ChangeSource(source) => self.change_source(source),
         }
@@ -177,9 +198,23 @@
         (self.source, self.generation) = (source, None);
         self.endpoint_list().change_source(&self.source);
         (self.fetch, self.hedge) = (None, None);
+        self.slow_answers.clear();
+        self.leaving.clear();
+        self.freshness = ListFreshness::new(Instant::now());
         self.open_watch();
     }
 
+    /// Tells the decision module if the endpoint list has expired, or may be used again.
+    fn update_list_age(&mut self, expires_at: Option<Instant>) {
+        let is_expired = expires_at.is_some_and(|expires_at| Instant::now() >= expires_at);
+        let age = if is_expired { ListAge::Outdated } else { ListAge::Current };
+        if age != self.list_age {
+            self.list_age = age;
+            warn!(?age, "endpoints.age_changed");
+            self.engine.handle(Event::ListAge(age));
+        }
+    }
+
     /// Whether `source` is the discovery service that the watcher already follows. Returns false for a list
     /// in the configuration, which is always published again.
     fn is_current_service(&self, source: &EndpointSource) -> bool {
@@ -232,14 +267,14 @@
             EndpointSource::Service(address) => {
                 self.new_call(self.client.call(*address, query, response_timeout))
             }
-            EndpointSource::Fixed(document) => self.new_call(ready(Ok(document.clone()))),
+            EndpointSource::Fixed(document) => {
+                let answer = Answer { document: document.clone(), answered_at: Instant::now() };
+                self.new_call(ready(Ok(answer)))
+            }
         }
     }
 
-    fn new_call(
-        &self,
-        result: impl Future<Output = Result<EndpointDocument, CallError>> + Send + 'static,
-    ) -> Call {
+    fn new_call(&self, result: impl Future<Output = Result<Answer, CallError>> + Send + 'static) -> Call {
         Call { base_generation: self.generation, hedge_at: None, result: Box::pin(result) }
     }
 
@@ -259,7 +294,9 @@
         match &call_result.result {
             // The watch call that was hedged reports its own failure; a report of the hedge's failure would
             // count the failure twice.
-            Err(error) if !error.has_instances() => debug!(reason = %error, "discovery.hedge_failed"),
+            Err(error) if !error.may_bring_entries() => {
+                debug!(reason = %error, "discovery.hedge_failed");
+            }
             _ => {
                 if self.handle_result(call_result) {
                     self.open_watch();
@@ -277,9 +314,8 @@
     /// whether the result was a complete endpoint document.
     fn handle_result(&mut self, call_result: CallResult) -> bool {
         match call_result.result {
-            Ok(document) => {
-                self.schedule.record_outcome(CallOutcome::Succeeded);
-                self.handle_document(call_result.base_generation, document);
+            Ok(answer) => {
+                self.handle_answer(call_result.base_generation, answer, Pace::Normal);
                 true
             }
             Err(error) => {
@@ -287,12 +323,48 @@
                 let outcome =
                     if timed_out_without_response { CallOutcome::NoResponse } else { CallOutcome::Failed };
                 self.schedule.record_outcome(outcome);
-                self.handle_failure(error);
+                if !matches!(error, CallError::Incomplete(_)) && self.slow_answers.is_empty() {
+                    self.freshness.record_unreachable();
+                }
+                self.handle_failure(call_result.base_generation, error);
                 false
             }
         }
     }
 
+    fn handle_answer(&mut self, base_generation: Option<u64>, answer: Answer, pace: Pace) {
+        self.schedule.record_outcome(CallOutcome::Succeeded);
+        self.freshness.record_answer(answer.answered_at, pace);
+        self.handle_document(base_generation, answer.document);
+    }
+
+    /// Publishes what has arrived of an answer that takes long.
+    fn handle_slow_progress(&mut self, slow: SlowCallProgress) {
+        let base_generation = slow.base_generation;
+        match slow.progress {
+            SlowProgress::Arrived(partial, answer) => {
+                let entries = self.usable_entries(partial);
+                self.publish_partial(&entries);
+                self.slow_answers.read_on(base_generation, answer);
+            }
+            SlowProgress::Ended(Ok(answer)) => {
+                debug!(elapsed = ?answer.answered_at.elapsed(), "discovery.slow_answer_complete");
+                self.handle_answer(base_generation, answer, Pace::Slow);
+            }
+            SlowProgress::Ended(Err(error)) => {
+                debug!(reason = %error, "discovery.slow_answer_failed");
+                let entries = self.usable_entries(error.into_parts().0);
+                self.publish_partial(&entries);
+            }
+        }
+    }
+
+    fn publish_partial(&self, entries: &[Instance]) {
+        if !entries.is_empty() {
+            self.publish(EndpointUpdate::Partial, None, entries);
+        }
+    }
+
     fn handle_document(&mut self, base_generation: Option<u64>, document: EndpointDocument) {
         // A complete endpoint list with a lower generation shows that the discovery service was reset, but
         // only if no other call has changed the watcher's generation in the meantime. Otherwise the received
@@ -302,22 +374,45 @@
             debug!(generation = document.generation, "endpoints.stale_update");
             return;
         }
+        if self.is_older(document.generation) {
+            self.leaving.clear();
+        }
         let update = if document.reset { EndpointUpdate::Snapshot } else { EndpointUpdate::Changes };
         self.accept_document(update, document);
     }
 
-    fn handle_failure(&mut self, error: CallError) {
+    fn handle_failure(&mut self, base_generation: Option<u64>, error: CallError) {
         let reason = error.to_string();
-        let PartialDocument { generation, mut instances } = error.into_partial();
-        // An entry of a worker that is leaving is used whatever the document's generation is. An entry of a
-        // ready worker is used only if the document has a generation that is no lower than the published
-        // generation.
-        let is_recent = generation.is_some_and(|generation| !self.is_older(generation));
-        instances.retain(|instance| is_recent || instance.endpoint_state() != EndpointState::Ready);
+        let (partial, slow_answer) = error.into_parts();
+        let instances = self.usable_entries(partial);
         warn!(reason, entries = instances.len(), "discovery.failed");
         // The received entries are published as part of the `Failed` update: a `Changes` update would count
         // as a successful response of discovery and end the decision module's backoff.
         self.publish(EndpointUpdate::Failed, None, &instances);
+        if let Some(answer) = slow_answer {
+            self.freshness.record_slow_answer();
+            self.slow_answers.read_on(base_generation, answer);
+        }
+    }
+
+    /// Returns the entries of an incomplete document that may be published, and remembers those of leaving
+    /// workers.
+    fn usable_entries(&mut self, partial: PartialDocument) -> Vec<Instance> {
+        let PartialDocument { generation, mut instances } = partial;
+        // An entry of a worker that is leaving is used whatever the document's generation is. An entry of a
+        // ready worker is used only if the document has a generation that is no lower than the published
+        // generation.
+        let recent = generation.filter(|generation| !self.is_older(*generation));
+        let is_ready_by =
+            |generation, instance: &Instance| !self.leaving.contains_after(generation, &instance.instance_id);
+        instances.retain(|instance| {
+            instance.endpoint_state() != EndpointState::Ready
+                || recent.is_some_and(|generation| is_ready_by(generation, instance))
+        });
+        if let Some(generation) = recent {
+            self.leaving.record(generation, &instances);
+        }
+        instances
     }
 
     fn is_older(&self, generation: u64) -> bool {
@@ -330,6 +425,8 @@
         debug!(?update, generation, entries, "endpoints.updated");
         self.generation = Some(generation);
         self.publish(update, self.generation, &document.instances);
+        let overtaken = self.leaving.retain_after(generation);
+        self.publish_partial(&overtaken);
         self.confirmed.send_replace(true);
     }
 
--- a/crates/vetchbridge/src/workers/attempt.rs
+++ b/crates/vetchbridge/src/workers/attempt.rs
@@ -70,8 +70,9 @@
         let first_byte_deadline = Instant::now() + first_byte_timeout.min(timeout);
         let timed_out = sleep(timeout);
         let mut availability = worker.availability.subscribe();
-        let permission =
-            SendPermission::while_available(availability.clone()).until(first_byte_deadline, concluded);
+        let permission = SendPermission::while_available(availability.clone())
+            .while_list_is_current(self.list_expiry.clone())
+            .until(first_byte_deadline, concluded);
         let exchange = worker.exchange(&WorkerRequest::Job { payload, timeout }, permission.clone());
         self.evict_idle_connections();
         let accept_timed_out = accept_timed_out(&exchange.progress, self.accept_timeout());
--- a/crates/vetchbridge/src/workers/group.rs
+++ b/crates/vetchbridge/src/workers/group.rs
@@ -6,6 +6,7 @@
 use super::endpoint::{Availability, Worker, WorkerEndpoint};
 use super::load_report::LoadReportSettings;
 use super::lock_ignoring_poison;
+use super::permission::ListExpiry;
 use crate::memory::MemoryBudget;
 use hyper::http::uri::Authority;
 use std::collections::{HashMap, HashSet};
@@ -13,6 +14,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::sync::Semaphore;
+use tokio::time::Instant;
 use tracing::warn;
 use vetchbridge_scheduling::{EndpointState, EndpointUpdate, WorkerId};
 
@@ -35,6 +37,8 @@
     connection_count: ConnectionCount,
     /// The budget in which connections to workers and their responses are counted.
     pub(super) memory: MemoryBudget,
+    /// When the endpoint list expires; from then on no attempt is sent.
+    pub(super) list_expiry: ListExpiry,
     /// The number of connections to workers beyond which idle connections are closed.
     max_connections: AtomicUsize,
 }
@@ -78,6 +82,7 @@
             probe_permits: Semaphore::new(max_probes),
             connection_count: ConnectionCount::default(),
             memory: MemoryBudget::new(usize::MAX),
+            list_expiry: ListExpiry::default(),
             max_connections: AtomicUsize::new(usize::MAX),
         }
     }
@@ -138,6 +143,11 @@
         }
     }
 
+    /// Sets when the endpoint list expires; `None` if it does not expire.
+    pub fn set_list_expiry(&self, expires_at: Option<Instant>) {
+        self.list_expiry.set(expires_at);
+    }
+
     /// Adds the worker that an entry of the endpoint list describes, or replaces the worker if the entry
     /// describes a new process, and sets the worker's availability.
     fn update_worker(&self, workers: &mut HashMap<WorkerId, Arc<Worker>>, endpoint: &WorkerEndpoint<'_>) {
--- a/crates/vetchbridge/src/workers/permission.rs
+++ b/crates/vetchbridge/src/workers/permission.rs
@@ -4,8 +4,9 @@
 //! connection, and connecting to the worker may take so long that the decision no longer holds.
 
 use super::endpoint::Availability;
+use super::lock_ignoring_poison;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use thiserror::Error;
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -19,6 +20,9 @@
     /// Another process has taken over the worker's name.
     #[error("the worker was replaced by another process")]
     WorkerReplaced,
+    /// The endpoint list is too old to be used.
+    #[error("the endpoint list is outdated")]
+    ListOutdated,
     /// The request has been answered, or its client has disconnected.
     #[error("the request is concluded")]
     RequestConcluded,
@@ -27,11 +31,28 @@
     DeadlinePassed,
 }
 
+/// When the endpoint list expires; shared by all attempts.
+#[derive(Clone, Debug, Default)]
+pub(super) struct ListExpiry(Arc<Mutex<Option<Instant>>>);
+
+impl ListExpiry {
+    /// Sets when the list expires; `None` if it does not expire.
+    pub(super) fn set(&self, expires_at: Option<Instant>) {
+        *lock_ignoring_poison(&self.0) = expires_at;
+    }
+
+    fn is_expired(&self) -> bool {
+        lock_ignoring_poison(&self.0).is_some_and(|expires_at| Instant::now() >= expires_at)
+    }
+}
+
 /// The conditions under which a request may be written to its worker.
 #[derive(Clone)]
 pub(super) struct SendPermission {
     /// The worker's availability; `None` if the request may be written whatever the availability is.
     availability: Option<watch::Receiver<Availability>>,
+    /// The expiry of the list that the worker comes from.
+    list_expiry: ListExpiry,
     /// Set once the request has been answered or its client has disconnected.
     concluded: Arc<AtomicBool>,
     /// The time before which the request's first byte must be written; `None` for no limit.
@@ -41,7 +62,12 @@
 impl SendPermission {
     /// Returns a send permission without conditions, such as for the cancellation of a job.
     pub(super) fn always() -> SendPermission {
-        SendPermission { availability: None, concluded: Arc::default(), first_byte_deadline: None }
+        SendPermission {
+            availability: None,
+            list_expiry: ListExpiry::default(),
+            concluded: Arc::default(),
+            first_byte_deadline: None,
+        }
     }
 
     /// Returns a send permission that holds for as long as the worker is available.
@@ -49,6 +75,11 @@
         SendPermission { availability: Some(availability), ..SendPermission::always() }
     }
 
+    /// Returns this send permission with one more condition: the endpoint list must not be expired.
+    pub(super) fn while_list_is_current(self, list_expiry: ListExpiry) -> SendPermission {
+        SendPermission { list_expiry, ..self }
+    }
+
     /// Returns this send permission with two more conditions: the request's first byte must be written before
     /// `first_byte_deadline` and before `concluded` is set.
     pub(super) fn until(self, first_byte_deadline: Instant, concluded: Arc<AtomicBool>) -> SendPermission {
@@ -65,12 +96,15 @@
         }
     }
 
-    /// Checks the conditions of the request, without the worker's availability: the client still waits, and
-    /// the deadline for the first byte has not passed.
+    /// Checks the conditions of the request, without the worker's availability: the client still waits, the
+    /// endpoint list is not expired, and the deadline for the first byte has not passed.
     pub(super) fn check_request(&self) -> Result<(), SendDenied> {
         if self.concluded.load(Ordering::Relaxed) {
             return Err(SendDenied::RequestConcluded);
         }
+        if self.list_expiry.is_expired() {
+            return Err(SendDenied::ListOutdated);
+        }
         match self.first_byte_deadline {
             Some(deadline) if Instant::now() >= deadline => Err(SendDenied::DeadlinePassed),
             _ => Ok(()),
--- a/crates/vetchbridge/src/workers/permission/tests.rs
+++ b/crates/vetchbridge/src/workers/permission/tests.rs
@@ -39,3 +39,16 @@
     assert_eq!(permission(Availability::Draining, false).check_request(), Ok(()));
     assert_eq!(permission(Availability::Replaced, true).check_request(), Err(SendDenied::RequestConcluded));
 }
+
+/// Guards against attempts by a list that has long been replaced: discovery may take long to write an answer.
+#[tokio::test(start_paused = true)]
+async fn a_request_may_be_sent_until_the_endpoint_list_expires() {
+    let expiry = ListExpiry::default();
+    let permission = permission(Availability::Ready, false).while_list_is_current(expiry.clone());
+    expiry.set(Some(Instant::now() + SECOND / 2));
+    assert_eq!(permission.check(), Ok(()));
+    tokio::time::advance(SECOND / 2).await;
+    assert_eq!(permission.check(), Err(SendDenied::ListOutdated));
+    expiry.set(None);
+    assert_eq!(permission.check(), Ok(()));
+}
--- a/crates/vetchbridge/src/workers/probe.rs
+++ b/crates/vetchbridge/src/workers/probe.rs
@@ -36,7 +36,8 @@
             return (outcome, None);
         }
         let deadline = Instant::now() + PROBE_TIMEOUT;
-        let permission = SendPermission::while_available(availability.clone());
+        let permission = SendPermission::while_available(availability.clone())
+            .while_list_is_current(self.list_expiry.clone());
         let exchange = worker.exchange(&WorkerRequest::Probe, permission);
         self.evict_idle_connections();
         let mut memory = self.memory.reservation(MemoryOwner::WorkerResponses);
