--- a/crates/scheduling/src/endpoint_refresh.rs
+++ b/crates/scheduling/src/endpoint_refresh.rs
@@ -51,8 +51,8 @@
 
 impl EndpointRefresh {
     /// Records an update of the endpoint list. A failed poll of discovery, a part of a response or a
-    /// renumbered list changes nothing. Any other update counts as a response: the update resets the number of
-    /// polls, and confirms the endpoint list unless the update is a restored list.
+    /// renumbered list changes nothing. Any other update counts as a response: the update resets the number
+    /// of polls, and confirms the endpoint list unless the update is a restored list.
     pub(crate) fn record_update(&mut self, now: Micros, update: EndpointUpdate) {
         if matches!(update, EndpointUpdate::Failed | EndpointUpdate::Partial | EndpointUpdate::Renumbered) {
             return;
--- a/crates/scheduling/src/events.rs
+++ b/crates/scheduling/src/events.rs
@@ -53,8 +53,8 @@
     /// A subscription at discovery or a fetch from discovery failed. The entries are those that arrived
     /// before the failure; the rest of the endpoint list stays as it was.
     Failed,
-    /// Entries of a response of discovery whose end has not arrived yet; the rest of the endpoint list stays as
-    /// it was. The update is no response: the end of the response follows as another update, if it arrives.
+    /// Entries of a response of discovery whose end has not arrived yet; the rest of the endpoint list stays
+    /// as it was. The update is no response: the end of the response follows as another update, if it arrives.
     Partial,
     /// The endpoint list that the scheduler already has, with zones and machine types numbered by new
     /// settings. The update is not a response of discovery.
