Notice a client's close however much of its input is unread

Callers saw: a client closed its connection with much still unread, and its request was sent to a worker afterwards.

Cause: a close was noticed only by reading up to it, 512 bytes at a time.

Change: the stream asks for the socket's readiness, which reports the close beside unread input.

--- a/crates/vetchbridge/src/clients/connection/request_stream.rs
+++ b/crates/vetchbridge/src/clients/connection/request_stream.rs
@@ -153,9 +153,12 @@
         self.socket
     }
 
-    /// Resolves when the client has disconnected. Until then, stores the pipelined input that the client
-    /// sends.
+    /// Resolves when the client has disconnected, however much of its input is unread. Until then, stores the
+    /// pipelined input that the client sends.
     fn poll_disconnected(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.socket.is_closed_by_peer(cx) {
+            return Poll::Ready(Ok(()));
+        }
         let mut bytes = [0; PIPELINED_READ_BYTES];
         while self.connection.accepts_pipelined_input() {
             let mut piece = ReadBuf::new(&mut bytes);
--- a/crates/vetchbridge/src/net/stream.rs
+++ b/crates/vetchbridge/src/net/stream.rs
@@ -13,11 +13,12 @@
 use super::turn::Turn;
 use bytes::BufMut;
 use hyper_util::client::legacy::connect::{Connected, Connection};
+use std::future::Future;
 use std::io::{self, ErrorKind, IoSlice};
 use std::os::fd::{AsFd, BorrowedFd};
-use std::pin::Pin;
+use std::pin::{pin, Pin};
 use std::task::{ready, Context, Poll};
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 
 /// A TCP connection that retries interrupted system calls, and that does not wait for readiness after a read
@@ -77,6 +78,13 @@
         }
     }
 
+    /// Whether the other side has closed the connection for writing or reset it, by the runtime's latest look at
+    /// the socket. Input that has not been read does not hide the close.
+    pub(crate) fn is_closed_by_peer(&self, cx: &mut Context<'_>) -> bool {
+        let readiness = pin!(self.socket.ready(Interest::READABLE)).poll(cx);
+        matches!(readiness, Poll::Ready(Ok(readiness)) if readiness.is_read_closed())
+    }
+
     /// Deregisters the connection from the async runtime and returns it as the standard library's stream.
     pub(crate) fn into_std(self) -> io::Result<std::net::TcpStream> {
         self.socket.into_std()
--- a/crates/vetchbridge/tests/leaving.rs
+++ b/crates/vetchbridge/tests/leaving.rs
@@ -171,6 +171,7 @@
     "POST /safe/k HTTP/1.1\r\nhost: x\r\nx-trace-id: 00000000000000cd\r\ncontent-length: 4\r\n\r\nwork"
 )]
 #[case::many(&PIPELINED_REQUEST.repeat(50))]
+#[case::much_unread_input(&PIPELINED_REQUEST.repeat(900))]
 #[timeout(TEST_TIMEOUT)]
 #[tokio::test]
 async fn a_job_that_arrives_together_with_its_clients_disconnect_is_not_accepted(
