Remember the ids of closed requests that must not run again

Callers saw: an id whose client had left came again, also at the other process of an upgrade, and a job of a class that must not run twice ran twice.

Cause: an id was refused only while its request was open. The request closes when its client leaves, whether or not a worker may have run the job, and the other process forgot the id with it, or did not know it yet.

Before the first attempt, a process that has another one waits until each knows what the other has opened (up to 0.2 s). New optional fields of the hand-over announce the two new messages; processes of older versions get none.

Two compatibility tests name the new field with its old encoding.

--- a/crates/vetchbridge/src/lib.rs
+++ b/crates/vetchbridge/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod admin;
 pub mod cli;
 pub mod clients;
+pub mod closed_requests;
 pub mod config;
 pub mod discovery;
 pub mod engine;
--- a/crates/vetchbridge/src/request.rs
+++ b/crates/vetchbridge/src/request.rs
@@ -50,7 +50,8 @@
     },
     /// The request failed, and a worker may have run its job.
     Failed,
-    /// The request's id belongs to another request of this scheduler that has not ended yet.
+    /// The request's id belongs to another request of this scheduler that has not ended yet, or that has ended
+    /// and whose job must not run again.
     Duplicate,
 }
 
@@ -80,8 +81,9 @@
     let (answer_sender, answer) = oneshot::channel();
     let SubmittedRequest { request, payload, settings, memory } = submitted;
     let (id, class, deadline) = (request.id, request.class, request.deadline);
-    let open_elsewhere = process_links.has_open_request(id);
-    let Some(commands) = (!open_elsewhere).then(|| engine.open_request(request)).flatten() else {
+    let may_run_again = settings.may_run_again(class);
+    let is_known = process_links.has_open_request(id) || !may_run_again && process_links.is_remembered(id);
+    let Some(commands) = (!is_known).then(|| engine.open_request(request)).flatten() else {
         let _ = answer_sender.send(Answer::Duplicate);
         return answer;
     };
@@ -108,6 +110,9 @@
 async fn run(mut context: RequestContext, upstream: Arc<UpstreamGroup>, payload: Payload) {
     let engine = context.engine.clone();
     let mut in_flight = FuturesUnordered::new();
+    if context.is_open_in_another_process().await {
+        context.conclude_duplicate();
+    }
     while context.answer_sender.is_some() || !in_flight.is_empty() {
         tokio::select! {
             biased;
@@ -303,6 +308,28 @@
         });
     }
 
+    /// Whether another process of this scheduler has opened a request with this id, which it may have done
+    /// without this process knowing of it yet. Always `false` for a request that may run again.
+    async fn is_open_in_another_process(&self) -> bool {
+        if self.settings.may_run_again(self.class) || self.process_links.process_count() == 0 {
+            return false;
+        }
+        self.process_links.synchronize().await;
+        self.process_links.has_open_request(self.id) || self.process_links.is_remembered(self.id)
+    }
+
+    /// Rejects the request because of its id. No attempt of it has been sent.
+    fn conclude_duplicate(&mut self) {
+        self.answer(Answer::Duplicate);
+        self.engine.handle(Event::ClientDisconnected(self.id));
+    }
+
+    /// Whether the request's job may have run and must not run again.
+    fn must_be_remembered(&self) -> bool {
+        let may_have_run = self.attempts.iter().any(|attempt| attempt.may_have_run_since.is_some());
+        may_have_run && !self.settings.may_run_again(self.class)
+    }
+
     fn on_client_disconnected(&mut self) {
         self.answer_sender = None;
         self.concluded.store(true, Ordering::Relaxed);
@@ -352,6 +379,10 @@
             self.engine.handle(Event::ClientDisconnected(self.id));
         }
         self.engine.close_request(self.id);
-        self.process_links.broadcast(|| HandoverMessage::RequestClosed(self.id.0));
+        if self.must_be_remembered() {
+            self.process_links.remember_closed(self.id);
+        } else {
+            self.process_links.broadcast(|| HandoverMessage::RequestClosed(self.id.0));
+        }
     }
 }
--- a/crates/vetchbridge/src/serve/startup.rs
+++ b/crates/vetchbridge/src/serve/startup.rs
@@ -52,6 +52,7 @@
     socket: HandoverSocket,
     /// Number of client connections that the predecessor had when the predecessor sent its offer.
     connections: usize,
+    replies_to_sync: bool,
 }
 
 /// The sockets and the endpoint list that the process starts with, inherited from a predecessor process if
@@ -120,8 +121,8 @@
         process_links,
     });
     start_serving(&handover_server.lifecycle, list_confirmed);
-    if let Some(Predecessor { socket, connections }) = predecessor {
-        handover_server.announce_takeover(socket, connections);
+    if let Some(Predecessor { socket, connections, replies_to_sync }) = predecessor {
+        handover_server.announce_takeover(socket, connections, replies_to_sync);
     }
     if let (Some(listener), Some(path)) = (handover_listener, config.handover_path) {
         tokio::spawn(handover_server.clone().run(path, listener));
@@ -155,7 +156,11 @@
             generation_valid: same_source && offer.generation.is_some(),
             confirmed_by_predecessor: offer.confirmed,
         },
-        predecessor: Some(Predecessor { socket, connections: offer.connections }),
+        predecessor: Some(Predecessor {
+            socket,
+            connections: offer.connections,
+            replies_to_sync: offer.replies_to_sync,
+        }),
     }
 }
 
--- a/crates/vetchbridge/src/snapshot.rs
+++ b/crates/vetchbridge/src/snapshot.rs
@@ -8,7 +8,7 @@
 use serde_json::Value;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
-use vetchbridge_scheduling::{Class, Settings, Tenant, TenantId};
+use vetchbridge_scheduling::{Class, ClassId, Idempotency, Settings, Tenant, TenantId};
 
 /// The names that clients, workers and the discovery service use. The settings refer to each name by the
 /// name's index in one of these tables.
@@ -71,6 +71,12 @@
         Some((index as u32, self.settings.classes.get(index)?))
     }
 
+    /// Whether a job of this class may run again after it has run.
+    pub fn may_run_again(&self, class: ClassId) -> bool {
+        let class = self.settings.classes.get(class.0 as usize);
+        class.is_some_and(|class| class.idempotency == Idempotency::Idempotent)
+    }
+
     /// Returns the longest deadline of all request classes.
     pub fn longest_deadline(&self) -> Duration {
         let longest = self.settings.classes.iter().map(|class| class.deadline).max();
--- a/crates/vetchbridge/src/upgrade/exchange.rs
+++ b/crates/vetchbridge/src/upgrade/exchange.rs
@@ -21,9 +21,15 @@
 impl HandoverServer {
     /// Announces to the predecessor process, connected through `socket`, that this process serves from now
     /// on, and keeps the link to the predecessor. `predecessor_connections` is the number of client
-    /// connections that the predecessor had.
-    pub fn announce_takeover(self: &Arc<Self>, socket: HandoverSocket, predecessor_connections: usize) {
-        let (link, outgoing) = Link::new();
+    /// connections that the predecessor had, and `replies_to_sync` whether it replies to
+    /// [`HandoverMessage::Sync`].
+    pub fn announce_takeover(
+        self: &Arc<Self>,
+        socket: HandoverSocket,
+        predecessor_connections: usize,
+        replies_to_sync: bool,
+    ) {
+        let (link, outgoing) = Link::new(replies_to_sync);
         link.record(&HandoverMessage::ConnectionCount(predecessor_connections));
         self.register(&link);
         link.send(HandoverMessage::TookOver, Vec::new());
@@ -31,11 +37,12 @@
         tokio::spawn(async move { server.run_link(socket, link, outgoing).await });
     }
 
-    /// Adds the link to another process, and sends that process the ids of this process's open requests. When
-    /// a request opens or closes later, all linked processes are told.
+    /// Adds the link to another process, and sends that process the ids of this process's open requests and of
+    /// its closed requests that must not run again. When a request opens or closes later, all linked processes
+    /// are told.
     pub(super) fn register(&self, link: &Arc<Link>) {
         self.process_links.add(link.clone());
-        for id in self.engine.open_request_ids() {
+        for id in self.engine.open_request_ids().into_iter().chain(self.process_links.remembered_ids()) {
             link.send(HandoverMessage::RequestOpened(id.0), Vec::new());
         }
     }
@@ -102,6 +109,9 @@
                     self.client_server.take_over_connection(connection, is_kept_alive);
                 }
             }
+            HandoverMessage::Sync(number) => {
+                link.send(HandoverMessage::SyncReply(number), Vec::new());
+            }
             HandoverMessage::ForwardedCallback { number, callback } => {
                 self.handle_callback(link.clone(), number, callback);
             }
--- a/crates/vetchbridge/src/upgrade/message.rs
+++ b/crates/vetchbridge/src/upgrade/message.rs
@@ -36,6 +36,9 @@
         name: String,
         /// The address at which clients connect to the scheduler.
         listen: SocketAddr,
+        /// Whether the sender replies to [`HandoverMessage::Sync`]. Older versions don't, nor send the field.
+        #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+        replies_to_sync: bool,
     },
     /// Sent by the predecessor process: the predecessor's state. The message carries the descriptors of the
     /// listener for clients and, if there is one, of the socket for messages between schedulers.
@@ -63,10 +66,11 @@
     #[serde(rename = "Holds")]
     ConnectionCount(usize),
     /// The process that sends the message has accepted the client's request with this id, and the request has
-    /// not ended yet.
+    /// not ended yet, or it has ended and must not run again.
     #[serde(rename = "Opened")]
     RequestOpened(u64),
-    /// The client's request with this id has ended in the process that sends the message.
+    /// The client's request with this id has ended in the process that sends the message, and may run again
+    /// for all that process remembers.
     #[serde(rename = "Closed")]
     RequestClosed(u64),
     /// Forwards a worker's callback for which the process that sends the message has no attempt.
@@ -85,6 +89,11 @@
         /// Whether an attempt was found for the forwarded callback.
         known: bool,
     },
+    /// Asks for a [`HandoverMessage::SyncReply`] with this number after all earlier messages. Sent only to a
+    /// process that has announced that it replies.
+    Sync(u64),
+    /// The reply to the [`HandoverMessage::Sync`] with this number.
+    SyncReply(u64),
 }
 
 /// The predecessor process's state, from which the successor process starts.
@@ -103,6 +112,9 @@
     pub confirmed: bool,
     /// The number of client connections that the predecessor has.
     pub connections: usize,
+    /// Whether the predecessor replies to [`HandoverMessage::Sync`]. Older versions don't, nor send the field.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub replies_to_sync: bool,
     /// The platform's document in force, without its saved endpoint list; `None` if the configuration is a
     /// TOML file, or if the document is too long for the message. Older versions don't send the field.
     #[serde(default, skip_serializing_if = "Option::is_none")]
--- a/crates/vetchbridge/src/upgrade/message/tests.rs
+++ b/crates/vetchbridge/src/upgrade/message/tests.rs
@@ -25,6 +25,7 @@
         generation: Some(7),
         confirmed: false,
         connections: 3,
+        replies_to_sync: true,
         configuration: None,
     };
     let messages = [
@@ -33,6 +34,8 @@
         HandoverMessage::Rejected("no".to_string()),
         HandoverMessage::ClientConnection { is_kept_alive: true },
         HandoverMessage::RequestOpened(u64::MAX),
+        HandoverMessage::Sync(u64::MAX),
+        HandoverMessage::SyncReply(0),
     ];
     for message in messages {
         let encoded = message.encode();
--- a/crates/vetchbridge/src/upgrade/predecessor.rs
+++ b/crates/vetchbridge/src/upgrade/predecessor.rs
@@ -48,6 +48,12 @@
     Receive(#[from] ReceiveError),
 }
 
+/// What a process that may become the successor has announced of itself.
+struct Successor {
+    /// Whether the process replies to [`HandoverMessage::Sync`].
+    replies_to_sync: bool,
+}
+
 /// Hands over to successor processes. Holds the sockets, the state and the connections that a successor takes
 /// over.
 pub struct HandoverServer {
@@ -105,9 +111,9 @@
     /// process accepts that process as its successor. Then registers a [`Link`], by which the two processes
     /// exchange messages over the same socket, and keeps the link until either process ends.
     async fn hand_over(self: Arc<Self>, socket: HandoverSocket) {
-        match self.receive_hello(&socket).await {
-            Ok(true) => {}
-            Ok(false) => return,
+        let replies_to_sync = match self.receive_hello(&socket).await {
+            Ok(Some(Successor { replies_to_sync })) => replies_to_sync,
+            Ok(None) => return,
             Err(rejection) => {
                 let reason = rejection.to_string();
                 warn!(reason, "upgrade.successor_rejected");
@@ -115,8 +121,8 @@
                 let _ = timeout(HELLO_TIMEOUT, socket.send(&rejected, &[])).await;
                 return;
             }
-        }
-        let (link, outgoing) = Link::new();
+        };
+        let (link, outgoing) = Link::new(replies_to_sync);
         if !matches!(timeout(OFFER_TIMEOUT, self.send_offer(&socket)).await, Ok(Ok(()))) {
             return warn!("upgrade.offer_failed");
         }
@@ -125,20 +131,20 @@
         self.run_link(socket, link, outgoing).await;
     }
 
-    /// Receives the first message of the process that has connected to the hand-over listener. Returns `true`
-    /// if that process may become the successor, `false` if it has closed the connection.
-    async fn receive_hello(&self, socket: &HandoverSocket) -> Result<bool, Rejection> {
+    /// Receives the first message of the process that has connected to the hand-over listener. Returns that
+    /// process if it may become the successor, `None` if it has closed the connection.
+    async fn receive_hello(&self, socket: &HandoverSocket) -> Result<Option<Successor>, Rejection> {
         let received = timeout(HELLO_TIMEOUT, MessageReader::new(socket).next()).await;
-        let Some(envelope) = received.map_err(|_| Rejection::NoHello)?? else { return Ok(false) };
+        let Some(envelope) = received.map_err(|_| Rejection::NoHello)?? else { return Ok(None) };
         match envelope.message {
-            HandoverMessage::Hello { version: VERSION, name, listen } => {
+            HandoverMessage::Hello { version: VERSION, name, listen, replies_to_sync } => {
                 if self.process_links.has_successor() {
                     return Err(Rejection::AlreadyHandedOver);
                 }
                 if name != self.name || listen != self.listen {
                     return Err(Rejection::OtherScheduler { name: self.name.clone(), listen: self.listen });
                 }
-                Ok(true)
+                Ok(Some(Successor { replies_to_sync }))
             }
             HandoverMessage::Hello { version, .. } => Err(Rejection::UnsupportedVersion(version)),
             other => Err(Rejection::UnexpectedMessage(Box::new(other))),
@@ -163,6 +169,7 @@
             generation: generation.filter(|_| complete),
             confirmed: self.lifecycle.state() != LifecycleState::Starting,
             connections: self.client_server.connection_count(),
+            replies_to_sync: true,
             configuration: self.configuration_in_force(),
         });
         let mut descriptors = vec![self.listener.as_fd()];
--- a/crates/vetchbridge/src/upgrade/process_links.rs
+++ b/crates/vetchbridge/src/upgrade/process_links.rs
@@ -5,6 +5,7 @@
 //! module `exchange` sends the messages. No call waits for a process that has ended, and requests are not
 //! delayed if there is no other process.
 
+use crate::closed_requests::ClosedRequests;
 use crate::upgrade::message::{Envelope, HandoverMessage};
 use crate::workers::Callback;
 use std::collections::{HashMap, HashSet};
@@ -12,7 +13,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot, watch, Notify};
-use tokio::time::timeout;
+use tokio::time::{timeout, Instant};
 use tracing::warn;
 use vetchbridge_scheduling::RequestId;
 
@@ -22,6 +23,9 @@
 /// Time limit for another process's reply to a forwarded callback. A worker retries a callback that gets no
 /// successful response.
 const CALLBACK_REPLY_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time limit for another process's reply to a [`HandoverMessage::Sync`]. A process that takes longer is treated
+/// as a process that hangs.
+const SYNC_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// The result of forwarding a worker's callback to the other processes of this scheduler.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -37,7 +41,8 @@
 /// The state that another process of this scheduler has reported.
 #[derive(Default)]
 struct RemoteState {
-    /// The ids of the clients' requests that have not ended yet in the other process.
+    /// The ids of the clients' requests that have not ended yet in the other process, and of those that have
+    /// ended there and must not run again.
     open_requests: HashSet<u64>,
     /// The number of client connections of the other process.
     connections: usize,
@@ -46,12 +51,18 @@
     pending_callbacks: HashMap<u64, oneshot::Sender<bool>>,
     /// The number that identifies the last callback that was forwarded to the other process.
     last_callback: u64,
+    /// The synchronizations that await a reply, by number.
+    pending_syncs: HashMap<u64, oneshot::Sender<()>>,
+    /// The number that identifies the last synchronization with the other process.
+    last_sync: u64,
 }
 
 /// The link to another process of this scheduler.
 pub struct Link {
     outgoing: mpsc::Sender<Envelope>,
     remote: Mutex<RemoteState>,
+    /// Whether the other process replies to [`HandoverMessage::Sync`]. Processes of older versions don't.
+    replies_to_sync: bool,
 }
 
 /// Locks a mutex, also after a thread has panicked while it held the lock.
@@ -61,10 +72,10 @@
 
 impl Link {
     /// Returns a new link to another process, and the receiver of the messages that are queued for that
-    /// process.
-    pub fn new() -> (Arc<Link>, mpsc::Receiver<Envelope>) {
+    /// process. `replies_to_sync`: whether that process replies to [`HandoverMessage::Sync`].
+    pub fn new(replies_to_sync: bool) -> (Arc<Link>, mpsc::Receiver<Envelope>) {
         let (outgoing, queue) = mpsc::channel(QUEUE_CAPACITY);
-        (Arc::new(Link { outgoing, remote: Mutex::default() }), queue)
+        (Arc::new(Link { outgoing, remote: Mutex::default(), replies_to_sync }), queue)
     }
 
     /// Queues a message with its descriptors for the other process. Returns `false` if the queue is full or
@@ -100,6 +111,26 @@
         forwarded
     }
 
+    /// Waits until the other process has handled all messages that were queued for it before this call, and
+    /// until this process has handled all messages that the other process sent before that.
+    async fn synchronize(&self) {
+        if !self.replies_to_sync {
+            return;
+        }
+        let (reply_sender, reply) = oneshot::channel();
+        let number = {
+            let remote = &mut *lock_ignoring_poison(&self.remote);
+            remote.last_sync += 1;
+            remote.pending_syncs.insert(remote.last_sync, reply_sender);
+            remote.last_sync
+        };
+        if self.send(HandoverMessage::Sync(number), Vec::new()) && timeout(SYNC_TIMEOUT, reply).await.is_err()
+        {
+            warn!("upgrade.sync_timed_out");
+        }
+        lock_ignoring_poison(&self.remote).pending_syncs.remove(&number);
+    }
+
     /// Updates what this process knows of the other process from a message that the other process sent.
     pub fn record(&self, message: &HandoverMessage) {
         let remote = &mut *lock_ignoring_poison(&self.remote);
@@ -110,6 +141,12 @@
             HandoverMessage::ClientConnection { .. } => {
                 remote.connections = remote.connections.saturating_sub(1);
             }
+            HandoverMessage::SyncReply(number) => {
+                if let Some(reply_sender) = remote.pending_syncs.remove(number) {
+                    // Passing on the reply fails if the wait for the reply has timed out.
+                    let _ = reply_sender.send(());
+                }
+            }
             HandoverMessage::CallbackReply { number, known } => {
                 if let Some(reply_sender) = remote.pending_callbacks.remove(number) {
                     // Passing on the reply to a forwarded callback fails if the wait for the reply has timed
@@ -128,6 +165,7 @@
     links: Mutex<Vec<Arc<Link>>>,
     successor: watch::Sender<Option<Arc<Link>>>,
     link_removed: Notify,
+    closed_requests: Mutex<ClosedRequests>,
 }
 
 impl Default for ProcessLinks {
@@ -136,6 +174,7 @@
             links: Mutex::default(),
             successor: watch::Sender::new(None),
             link_removed: Notify::new(),
+            closed_requests: Mutex::default(),
         }
     }
 }
@@ -160,9 +199,40 @@
         if was_successor {
             warn!("upgrade.successor_lost");
         }
+        // The other process can't be asked any more which of its requests may have run.
+        let open_requests = std::mem::take(&mut lock_ignoring_poison(&link.remote).open_requests);
+        open_requests.into_iter().for_each(|id| self.remember_closed(RequestId(id)));
         self.link_removed.notify_one();
     }
 
+    /// Remembers a closed request whose job may have run and must not run again. To the other processes the
+    /// request stays open until it is forgotten.
+    pub fn remember_closed(&self, id: RequestId) {
+        let forgotten = lock_ignoring_poison(&self.closed_requests).remember(id, Instant::now());
+        for id in forgotten {
+            self.broadcast(|| HandoverMessage::RequestClosed(id.0));
+        }
+    }
+
+    /// Whether the job of a closed request with this id may have run and must not run again.
+    pub fn is_remembered(&self, id: RequestId) -> bool {
+        lock_ignoring_poison(&self.closed_requests).contains(id)
+    }
+
+    /// Returns the ids of the remembered closed requests.
+    pub fn remembered_ids(&self) -> Vec<RequestId> {
+        lock_ignoring_poison(&self.closed_requests).ids().collect()
+    }
+
+    /// Waits until this process knows every request that another process had opened before this call, and every
+    /// other process knows those of this process. A process that hangs is not waited for long.
+    pub async fn synchronize(&self) {
+        let links = lock_ignoring_poison(&self.links).clone();
+        for link in links {
+            link.synchronize().await;
+        }
+    }
+
     /// Waits until a link to another process has been removed.
     pub async fn wait_for_removed_link(&self) {
         self.link_removed.notified().await;
--- a/crates/vetchbridge/src/upgrade/process_links/tests.rs
+++ b/crates/vetchbridge/src/upgrade/process_links/tests.rs
@@ -14,7 +14,7 @@
 #[test]
 fn removing_a_link_drops_the_requests_and_connections_of_its_process() {
     let process_links = ProcessLinks::default();
-    let ((old, _old_queue), (new, _new_queue)) = (Link::new(), Link::new());
+    let ((old, _old_queue), (new, _new_queue)) = (Link::new(true), Link::new(true));
     process_links.add(old.clone());
     process_links.add(new.clone());
     process_links.set_successor(new.clone());
@@ -47,6 +47,36 @@
     );
     process_links.remove(&new);
     assert_eq!((process_links.connection_count(), process_links.has_successor()), (0, false));
+    assert!(process_links.is_remembered(RequestId(2)), "the job of the other process may have run");
+    assert!(!process_links.is_remembered(RequestId(1)));
+}
+
+/// Guards against a request that both processes of an upgrade send, because the message that one of them has
+/// opened it is still under way. A process that hangs, or that does not know the message, is not waited for.
+#[tokio::test(start_paused = true)]
+async fn a_synchronization_ends_after_the_earlier_messages_of_the_other_process() {
+    let process_links = ProcessLinks::default();
+    let (link, mut queue) = Link::new(true);
+    process_links.add(link.clone());
+    let other_process = async {
+        let envelope = queue.recv().await.expect("a message");
+        let HandoverMessage::Sync(number) = envelope.message else { panic!("{envelope:?}") };
+        assert!(!process_links.has_open_request(RequestId(1)));
+        link.record(&HandoverMessage::RequestOpened(1));
+        link.record(&HandoverMessage::SyncReply(number));
+    };
+    let started_at = Instant::now();
+    tokio::join!(process_links.synchronize(), other_process);
+    assert!(process_links.has_open_request(RequestId(1)));
+    assert_eq!(started_at.elapsed(), Duration::ZERO);
+    process_links.synchronize().await;
+    assert_eq!(started_at.elapsed(), SYNC_TIMEOUT);
+    let (old_version, mut queue) = Link::new(false);
+    process_links.remove(&link);
+    process_links.add(old_version);
+    process_links.synchronize().await;
+    assert_eq!(started_at.elapsed(), SYNC_TIMEOUT);
+    assert!(queue.try_recv().is_err(), "an older version gets no message that it does not know");
 }
 
 /// A callback is forwarded to each process except the process that sent it. A process that hangs delays the
@@ -59,7 +89,7 @@
         ForwardOutcome::Unknown,
         "there is no other process"
     );
-    let links: Vec<_> = (0..4).map(|_| Link::new()).collect();
+    let links: Vec<_> = (0..4).map(|_| Link::new(true)).collect();
     let mut queues = Vec::new();
     for (link, queue) in links {
         process_links.add(link.clone());
--- a/crates/vetchbridge/src/upgrade/successor.rs
+++ b/crates/vetchbridge/src/upgrade/successor.rs
@@ -96,7 +96,8 @@
     name: &str,
     listen: SocketAddr,
 ) -> Result<InheritedState, TakeoverError> {
-    let hello = HandoverMessage::Hello { version: VERSION, name: name.to_string(), listen };
+    let name = name.to_string();
+    let hello = HandoverMessage::Hello { version: VERSION, name, listen, replies_to_sync: true };
     socket.send(&hello.encode(), &[]).await?;
     let mut reader = MessageReader::new(&socket);
     let Envelope { message, descriptors } = next_message(&mut reader).await?;
--- a/crates/vetchbridge/tests/compatibility.rs
+++ b/crates/vetchbridge/tests/compatibility.rs
@@ -53,9 +53,11 @@
         generation: Some(7),
         confirmed: false,
         connections: 2,
+        replies_to_sync: false,
         configuration: None,
     };
     let hello = HandoverMessage::Hello {
+        replies_to_sync: false,
         version: VERSION,
         name: "n-0".to_string(),
         listen: "127.0.0.1:8080".parse().expect("an address"),
--- a/crates/vetchbridge/tests/leaving.rs
+++ b/crates/vetchbridge/tests/leaving.rs
@@ -189,6 +189,36 @@
     assert_eq!(harness.assert_only_next_job_arrives().await, 0, "no worker is dialled for the job");
 }
 
+/// Guards against a job that runs twice because its client left and sent it again with the same id: the scheduler
+/// forgot the id together with the request.
+#[rstest]
+#[case::not_idempotent("unsafe", "409")]
+#[case::keyed("keyed", "409")]
+#[case::idempotent("safe", "200")]
+#[timeout(TEST_TIMEOUT)]
+#[tokio::test]
+async fn a_job_that_may_have_run_is_not_sent_again_under_the_same_id(
+    #[case] class: &str,
+    #[case] expected: &str,
+    #[values(Disconnect::Close, Disconnect::Reset)] disconnect: Disconnect,
+) {
+    let harness = Harness::start(1).await;
+    let headers = "X-Trace-Id: 00000000000000ab\r\nIdempotency-Key: a\r\n";
+    let mut client = dial(harness.daemon.address).await;
+    client.post_request(&format!("/{class}/k"), headers, "work").await;
+    let (_, mut worker) = harness.accept_worker_connection().await;
+    worker.read().await.expect("the job");
+    disconnect.run(client).await;
+    assert!(worker.read().await.is_none(), "the attempt is cancelled by closing its connection");
+    let mut client = dial(harness.daemon.address).await;
+    client.post_request(&format!("/{class}/k"), headers, "work").await;
+    let answer = tokio::select! {
+        answer = client.read() => answer,
+        () = harness.serve_next_attempt("00000000000000ab") => client.read().await,
+    };
+    assert_eq!(status(answer.as_ref()), expected);
+}
+
 /// The pipelined requests of a client are answered in the order of their arrival, with one job in flight at a
 /// time.
 #[rstest]
--- a/crates/vetchbridge/tests/upgrade.rs
+++ b/crates/vetchbridge/tests/upgrade.rs
@@ -74,6 +74,44 @@
     }
 }
 
+/// Guards against a job that runs twice because its id comes again at the other process of an upgrade, after its
+/// client has left the first one: before the upgrade, or while both processes serve.
+#[rstest]
+#[timeout(TEST_TIMEOUT)]
+#[tokio::test]
+async fn a_job_that_may_have_run_is_not_sent_again_by_the_other_process(
+    #[values(true, false)] client_leaves_before_upgrade: bool,
+    #[values(true, false)] predecessor_ends: bool,
+) {
+    let mut harness = Harness::start(1).await;
+    let (client, id) = harness.submit_job("unsafe", "k").await;
+    let (_, mut worker) = harness.accept_worker_connection().await;
+    worker.read().await.expect("the job");
+    let mut client = Some(client);
+    if client_leaves_before_upgrade {
+        client = None;
+        assert!(worker.read().await.is_none(), "the attempt is cancelled by closing its connection");
+    }
+    let mut successor = harness.start_successor();
+    assert_eq!(successor.admin_command("health").await, "ok serving\n");
+    assert_eq!(harness.daemon.admin_command("quiesce").await, "fail handed over; ask the successor\n");
+    if client.take().is_some() {
+        assert!(worker.read().await.is_none(), "the attempt is cancelled by closing its connection");
+    }
+    if predecessor_ends {
+        harness.daemon.signal("-TERM");
+        assert!(harness.daemon.child.wait().expect("the old process ends").success());
+        successor.wait_for_log("upgrade.link_closed").await;
+    }
+    let mut client = dial(harness.daemon.address).await;
+    client.post_request("/unsafe/k", &format!("X-Trace-Id: {id}\r\n"), "work").await;
+    let answer = tokio::select! {
+        answer = client.read() => answer,
+        () = harness.serve_next_attempt(&id) => client.read().await,
+    };
+    assert_eq!(status(answer.as_ref()), "409");
+}
+
 /// If a successor process starts and dies while a request is in flight, the request's client connection stays
 /// with the old process.
 #[rstest]
