--- a/crates/scheduling/src/endpoint_refresh/tests.rs
+++ b/crates/scheduling/src/endpoint_refresh/tests.rs
@@ -19,8 +19,7 @@
 /// A response does not make the list current by itself: the response may have taken too long to arrive.
 #[test]
 fn an_outdated_list_is_unconfirmed_until_it_is_current_again() {
-    let mut refresh = EndpointRefresh::default();
-    refresh.list_age = ListAge::Outdated;
+    let mut refresh = EndpointRefresh { list_age: ListAge::Outdated, ..EndpointRefresh::default() };
     refresh.record_update(NOW, EndpointUpdate::Changes);
     assert!(refresh.is_unconfirmed(NOW));
     refresh.list_age = ListAge::Current;
--- a/crates/vetchbridge/src/upgrade/process_links.rs
+++ b/crates/vetchbridge/src/upgrade/process_links.rs
@@ -201,7 +201,9 @@
         }
         // The other process can't be asked any more which of its requests may have run.
         let open_requests = std::mem::take(&mut lock_ignoring_poison(&link.remote).open_requests);
-        open_requests.into_iter().for_each(|id| self.remember_closed(RequestId(id)));
+        for id in open_requests {
+            self.remember_closed(RequestId(id));
+        }
         self.link_removed.notify_one();
     }
 
