Report each commanded attempt, also of a request whose client has left

Callers saw: nothing at once. A client that sends a job and leaves at once left a slot of a worker occupied for ever in the decision module's view.

Cause: the module commands the first attempt when a request arrives. If the client had disconnected when the request's task ran first, the task ended with the command in its queue, and the module never got the attempt's end. It waits for one end of each attempt that it commands, and keeps the attempt at the worker until then.

Change: the task carries out the commands that are left; an attempt of a closed request ends as NotSent. A new invariant counts commands that are left when a task ends.

--- a/crates/vetchbridge/src/invariants.rs
+++ b/crates/vetchbridge/src/invariants.rs
@@ -19,6 +19,8 @@
     NonIdempotentJobSentOnce,
     /// The daemon does not close a client connection on which a response is outstanding.
     UnansweredConnectionStaysOpen,
+    /// The decision module gets the end of each attempt that it has commanded, even if the attempt is not sent.
+    CommandedAttemptIsReported,
     /// An accepted request gets its final answer as long as its client waits, even if the process ends.
     AcceptedRequestIsAnswered,
 }
--- a/crates/vetchbridge/src/request.rs
+++ b/crates/vetchbridge/src/request.rs
@@ -105,15 +105,17 @@
     answer
 }
 
-/// Runs one client's request until it is answered (or its client has disconnected) and all of its attempts
-/// have ended.
+/// Runs one client's request until it is answered (or its client has disconnected), all commands are carried out
+/// and all attempts have ended.
 async fn run(mut context: RequestContext, upstream: Arc<UpstreamGroup>, payload: Payload) {
     let engine = context.engine.clone();
     let mut in_flight = FuturesUnordered::new();
     if context.is_open_in_another_process().await {
         context.conclude_duplicate();
     }
-    while context.answer_sender.is_some() || !in_flight.is_empty() {
+    // The commands that are left when the request has been answered are carried out too: the decision module
+    // waits for the end of each attempt that it has commanded, although no attempt is sent any more.
+    while context.answer_sender.is_some() || !in_flight.is_empty() || !context.commands.is_empty() {
         tokio::select! {
             biased;
             // The client's disconnect is checked before the commands, since no attempt may start after the
@@ -135,6 +137,7 @@
             Some(finished) = in_flight.next() => context.finish_attempt(finished, &upstream),
         }
     }
+    context.check_attempts_reported();
 }
 
 /// Resolves when the client of an unanswered request disconnects; never resolves for an answered request.
@@ -324,6 +327,19 @@
         self.engine.handle(Event::ClientDisconnected(self.id));
     }
 
+    /// Records a violation if an attempt has been commanded and its end not reported.
+    fn check_attempts_reported(&mut self) {
+        while let Ok(command) = self.commands.try_recv() {
+            if matches!(command, RequestCommand::Send { .. }) {
+                record_violation(
+                    Invariant::CommandedAttemptIsReported,
+                    Some(self.id),
+                    "the request's task ended before the attempt was started",
+                );
+            }
+        }
+    }
+
     /// Whether the request's job may have run and must not run again.
     fn must_be_remembered(&self) -> bool {
         let may_have_run = self.attempts.iter().any(|attempt| attempt.may_have_run_since.is_some());
