Give each round of the kit's bench a seed of its own

Cause: the rounds of make bench sent the same request ids to the same daemon, which now answers 409 to an id of a job that may have run and must not run again. Clients use a new id for each request (PROTOCOL).

--- a/crates/testkit/src/bench.rs
+++ b/crates/testkit/src/bench.rs
@@ -16,6 +16,7 @@
 use tokio::process::{Child, Command};
 use tokio::time::{interval, Instant};
 use vetchbridge::config::units::HumanDuration;
+use vetchbridge_testbed::arrivals::LoadSpec;
 use vetchbridge_testbed::client::{Clients, JobRecord, LoadRecord, Outcome};
 use vetchbridge_testbed::{wire::HttpConnection, AbortOnDrop, Port};
 
@@ -116,7 +117,7 @@
     for round in 0..=rounds {
         eprintln!("round {round} of {rounds}{}", if round == 0 { " (warm-up)" } else { "" });
         for target in &mut targets {
-            let measured = target.run_turn(&plan, connections, turn).await?;
+            let measured = target.run_turn(&plan, round, connections, turn).await?;
             if round > 0 {
                 target.turns.push(measured);
             }
@@ -215,8 +216,17 @@
         Ok(Target { name, address, pid, idle_kib, turns: Vec::new() })
     }
 
-    async fn run_turn(&self, plan: &Plan, connections: usize, duration: Duration) -> Result<Turn, Failure> {
-        let clients = Clients::new(plan.load_spec(), vec![self.address]);
+    /// Measures one turn. Each round has a seed of its own, since clients use a new id for each request.
+    async fn run_turn(
+        &self,
+        plan: &Plan,
+        round: usize,
+        connections: usize,
+        duration: Duration,
+    ) -> Result<Turn, Failure> {
+        let spec = plan.load_spec();
+        let seed = spec.seed.wrapping_add(round as u64);
+        let clients = Clients::new(LoadSpec { seed, ..spec }, vec![self.address]);
         let clients = clients.map_err(|error| Failure::BadInput(error.to_string()))?;
         let (started, cpu_before) = (Instant::now(), self.cpu_time()?);
         let load = clients.run_closed_loop(connections, duration).await;
